--- /dev/null
+++ b/opalwick/__init__.py
@@ -0,0 +1,1 @@
+"""opalwick: a dispatcher beside each submitter that pushes work items to workers."""
--- /dev/null
+++ b/opalwick/balance.py
@@ -0,0 +1,497 @@
+"""All decisions of opalwick. The types of its inputs and decisions are defined in `interface.py`.
+
+How to call it: one Balancer a scheduler. Set the time with clock(), hand in what happened (listed, taken, left,
+ended, began, progressed, reported), which only updates what is known, then pull decisions() until none is left;
+each decision counts as carried out once it is pulled.
+
+The ordinary path is the design's: a random worker, skips, blocks, cyclic-row copies, cancels at the first finish.
+Beside the design stand six mechanisms, each marked by its number where it is decided:
+  1 sight      when a work item would end at a worker, from reports, notes, elapsed times and own hand-offs
+  2 limit      own work in flight at a worker, grown by one and cut by a share; silence cuts it to a trial
+  3 cold       a fresh worker counts for less by its age, within a budget
+  4 move       a further hand-off after one that ended without an answer or has not begun when it should have
+  5 deferral   a work item that cannot meet its due time any more is answered at once
+  6 subject    the draw is made from the work item's subject, so that equal subjects meet at one worker
+"""
+from __future__ import annotations
+
+import heapq
+import math
+from collections import deque
+from collections.abc import Iterator, Sequence
+
+from opalwick.interface import (NEVER_RAN, Block, Cancel, Category, Decision, Defer, Effect, Group, HandOff, ListForm,
+                                Outcome, Phase, Report, Send, Subscribe, Terms, Wake, Worker, WorkItem, WriteOff)
+
+
+class Chance:
+    """A linear congruential generator (Knuth's MMIX constants); its high bits are used."""
+
+    def __init__(self, seed: int) -> None:
+        self.state = seed
+
+    def draw(self) -> float:
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
+        return (self.state >> 33) / 2147483648.0
+
+
+class Learned:
+    """What a category has shown so far."""
+
+    def __init__(self, category: Category) -> None:
+        # until items have ended: a category is taken to be wanted within about its running time
+        self.run = max(category.due, 0.01)
+        self.n = 0
+        self.allowance = 0.0                    # the longest time left to a try: that of a first try
+        self.open: Block | None = None
+
+
+class Balancer:
+    def __init__(self, terms: Terms, seed: int, now: float) -> None:
+        self.terms, self.now, self.chance = terms, now, Chance(seed)
+        self.learned = {category: Learned(category) for category in terms.categories}
+        self.workers: list[Worker] = []         # on the list and ready
+        self.todo: deque[WorkItem] = deque()    # to be handed off, or answered
+        self.freed: deque[HandOff] = deque()    # whose worker may take a copy
+        self.undo: deque[HandOff] = deque()
+        self.due: list[tuple[float, int, WorkItem]] = []
+        self.serial = 0
+        self.woken = -1.0                       # when the next wake is due, as far as asked for
+        self.firsts = self.copies = 0
+        self.kinds: dict[int, list[float]] = {}  # kind: seconds run, seconds of work asked for
+        self.value = 0.0                        # recent mean of credit a work item stands for
+        self.subscribed, self.ask_at, self.asked, self.refused = not terms.must_ask, now, False, 0
+
+    # ---- inputs: only update what is known
+
+    def clock(self, now: float) -> None:
+        self.now = now
+
+    def listed(self, form: ListForm, rows: Sequence[tuple]) -> None:
+        if form is not ListForm.CACHED and self.asked:
+            self.asked, self.subscribed = False, form is not ListForm.FAILED
+            self.refused = 0 if self.subscribed else self.refused + 1
+            # calls wait in one slow queue for all: the pause doubles, spread by chance, and stays under half of
+            # the time after which a scheduler that has not asked is deemed to know
+            self.ask_at = self.now + min(0.5 * 2 ** self.refused * (0.5 + self.chance.draw()),
+                                         0.4 * self.terms.ask_every)
+        elif form is ListForm.FAILED:
+            self.subscribed, self.ask_at = False, self.now + 0.5 * self.chance.draw()
+        if form is ListForm.FAILED:
+            return
+        if form is not ListForm.CHANGES:
+            for w in self.workers:
+                w.phase = Phase.GONE            # missing from a full list is gone
+        for w, zone, kind, cell, phase, share, ready_at in rows:
+            if ready_at > w.ready_at and w.sign_at > 0:
+                w.doubt, w.shun_until, w.others = 0, 0.0, 0.0   # a new process under the same id
+            w.zone, w.kind, w.cell, w.phase, w.ready_at = zone, kind, cell, phase, ready_at
+            w.share = share if 0 < share < 1e6 else 1.0
+            if phase is Phase.READY and w not in self.workers:
+                self.workers.append(w)
+        self.workers = [w for w in self.workers if w.phase is Phase.READY]
+
+    def taken(self, wi: WorkItem) -> None:
+        c, known = wi.category, self.learned[wi.category]
+        known.allowance = max(known.allowance, min(wi.expiry_at - wi.taken_at, c.expiry))
+        # a client's own repeat has less time left than a first try: its due time counts from that first try
+        first_at = min(wi.taken_at, wi.expiry_at - known.allowance)
+        wi.work = wi.hint if 0 < wi.hint < c.expiry else known.run
+        wi.due_at = min(first_at + c.due + c.stretch * wi.work, wi.expiry_at)
+        worth = c.credit * (wi.work if self.terms.by_work else 1.0)
+        # over about the last hundred, so that a heavy one does not set it alone
+        self.value += (worth - self.value) * (0.01 if self.value else 1.0)
+        self.todo.append(wi)
+        self.at(wi.expiry_at - 0.01, wi)        # a few ticks before the expiry; ticks are of some milliseconds
+
+    def left(self, wi: WorkItem) -> None:
+        wi.answered = True
+        self.undo.extend(ho for ho in wi.hand_offs if not ho.ended)
+
+    def ended(self, ho: HandOff, outcome: Outcome, answered: bool, took: float) -> None:
+        wi, w = ho.wi, ho.worker
+        self.note_mean(w)
+        ho.ended, ho.outcome = True, outcome
+        w.flights.discard(ho)
+        w.seen_at = -1.0
+        wi.answered = wi.answered or answered
+        if outcome in (Outcome.FINISHED, Outcome.ERROR, Outcome.FULL):
+            self.sign(w)
+        if outcome is Outcome.FINISHED:
+            began = ho.began_at or (ho.sent_at if ho.wait < 0.01 else 0.0)
+            if began and not self.young(w):
+                self.ran(wi, w, max(self.now - began, 1e-4))
+            if len(w.flights) + 1 >= w.limit:
+                w.limit += 1
+            self.undo.extend(other for other in wi.hand_offs if not other.ended)
+            self.freed.append(ho)
+        elif outcome in (Outcome.CANCELLED, Outcome.TIMED_OUT):
+            # an ignored cancel: work that had begun may go on, and counts in flight until it would have ended
+            if ho.began_at or not self.terms.tells_start:
+                w.lingering.append(ho)
+            elif ho.copy:
+                self.freed.append(ho)
+        elif not ho.copy:                       # only originals count toward failure
+            w.limit = max(1.0, min(w.limit, len(w.flights) + 1.0) * 0.7)  # a share, as for a full queue
+            if outcome in (Outcome.NO_CONNECTION, Outcome.BROKEN):
+                self.doubted(w)
+        if not wi.answered and all(other.ended for other in wi.hand_offs):
+            self.todo.append(wi)
+
+    def began(self, ho: HandOff) -> None:
+        if not ho.began_at:
+            ho.began_at = self.now
+            self.sign(ho.worker)
+
+    def progressed(self, ho: HandOff, share: float) -> None:
+        if not 0 < share <= 1:                  # an odd note is passed over
+            return
+        w = ho.worker
+        self.sign(w)
+        ho.began_at = ho.began_at or max(ho.sent_at, self.now - self.terms.progress_every)
+        spent = self.now - ho.began_at
+        if spent > 0.2:                         # shorter than this the trip itself would count
+            ho.run = max(spent / share, spent)
+
+    def reported(self, w: Worker, figures: Sequence[float]) -> None:
+        free = held = waiting = -1.0
+        for name, x in zip(self.terms.report, figures):
+            if not 0 <= x < 1e5:                # nonsense, not a number included
+                continue
+            if name == Report.FREE_SLOTS:
+                free = x
+            elif name == Report.HELD:
+                held = x
+            elif name == Report.WAITING:
+                waiting = x
+        if free >= 0:
+            w.slots = max(w.slots, float(round(free)))
+        total = held if held >= 0 else (self.slots(w) - free + max(waiting, 0.0) if free >= 0 else -1.0)
+        if total >= 0:
+            # half old, half new: reports are late and noisy
+            w.others += (max(0.0, total - w.mean) - w.others) * 0.5
+            w.others_at = self.now
+            w.seen_at = -1.0
+
+    # ---- bookkeeping
+
+    def at(self, when: float, wi: WorkItem) -> None:
+        self.serial += 1
+        heapq.heappush(self.due, (when, self.serial, wi))
+
+    def note_mean(self, w: Worker) -> None:
+        # over five seconds: longer than most work items run, shorter than most troubles last
+        w.mean += (len(w.flights) + len(w.lingering) - w.mean) * -math.expm1((w.mean_at - self.now) / 5.0)
+        w.mean_at = self.now
+
+    def sign(self, w: Worker) -> None:
+        w.sign_at, w.doubt, w.shun_until = self.now, 0, -1e9
+
+    def doubted(self, w: Worker) -> None:
+        """2: found silent or unreachable; a trial hand-off again after a pause that doubles."""
+        if self.now >= w.shun_until:
+            w.doubt += 1
+            w.shun_until = self.now + min(0.5 * 2 ** w.doubt, 8.0)  # from one second to the length of short troubles
+            w.limit = max(1.0, w.limit * 0.5)
+
+    def ran(self, wi: WorkItem, w: Worker, run: float) -> None:
+        known = self.learned[wi.category]
+        work = wi.hint or known.run
+        taken = min(run, 8.0 * work)            # one freak does not condemn a worker
+        kind = self.kinds.setdefault(w.kind, [0.0, 0.0])
+        # worker: about the last ten items; kind: about the last hundred
+        w.ran, w.asked = w.ran * 0.9 + taken, w.asked * 0.9 + work
+        kind[0], kind[1] = kind[0] * 0.99 + taken, kind[1] * 0.99 + work
+        known.n += 1
+        known.run += ((run if not wi.hint else wi.hint) - known.run) / min(known.n, 100)
+
+    def slots(self, w: Worker) -> float:
+        return w.slots or max((other.slots for other in self.workers if other.kind == w.kind), default=0.0) or 2.0
+
+    def young(self, w: Worker) -> bool:
+        return self.now - w.ready_at < self.terms.ramp
+
+    def warmth(self, w: Worker) -> float:
+        """3: the share of its capacity that a worker is sure to have at its age."""
+        t = self.terms
+        age = max(0.0, self.now - w.ready_at)
+        return min(1.0, t.cold_share + (1.0 - t.cold_share) * age / t.ramp) if t.ramp > 0 else 1.0
+
+    def look(self, w: Worker) -> None:
+        """1: pace, busy slots and backlog of a worker at this moment."""
+        if self.now - w.seen_at < 0.01:         # nothing moves much within a few ticks
+            return
+        w.seen_at = self.now
+        kind = self.kinds.get(w.kind)
+        prior = kind[0] / kind[1] if kind and kind[1] > 0 else 1.0
+        ran, asked, backlog, busy, mean = w.ran, w.asked, 0.0, 0.0, 0.0
+        if w.lingering:
+            w.lingering = [ho for ho in w.lingering if (ho.began_at or ho.sent_at + ho.wait) + ho.run > self.now]
+        for flights in (w.flights, w.lingering):
+            for ho in flights:
+                busy += ho.wi.slots
+                left = ho.run
+                if ho.began_at:
+                    spent = self.now - ho.began_at
+                    # what has run long is likely to run longer: half of what it has run
+                    left = max(ho.run - spent, 0.3 * spent)
+                    if spent > ho.run:          # it is slower than thought, or the item is heavier
+                        ran, asked = ran + spent, asked + ho.wi.work
+                backlog += left * ho.wi.slots
+        weight = 0.5                            # seconds of work: a handful of items outweigh the kind
+        w.pace = (weight * prior + ran) / (weight + asked)
+        # reports older than a few of their periods say little
+        others = w.others * (0.5 ** ((self.now - w.others_at) / 3.0))
+        for learned in self.learned.values():
+            mean += learned.run / len(self.learned)
+        w.busy = busy + others
+        w.backlog = backlog + others * mean * w.pace * 0.6
+
+    def silent(self, w: Worker) -> bool:
+        """1: a worker that gives no sign while its oldest hand-off should long have given one."""
+        oldest = min((ho.sent_at + ho.wait + ho.run for ho in w.flights if not ho.copy), default=math.inf)
+        if oldest == math.inf:
+            return False
+        since = max(w.sign_at, min(ho.sent_at for ho in w.flights))
+        # thrice the usual: a lone slow worker still gives notes; and never less than two progress notes
+        patience = max(3.0 * (oldest - min(ho.sent_at for ho in w.flights)), 2.2 * self.terms.progress_every, 0.5)
+        return self.now - since > patience
+
+    # ---- the rules: every hand-off passes here
+
+    def may(self, wi: WorkItem, w: Worker) -> bool:
+        """Whether this work item may be handed to this worker now, under the four rules."""
+        t, c = self.terms, wi.category
+        if wi.answered or self.now >= wi.expiry_at or w.phase is not Phase.READY:
+            return False
+        if len(wi.hand_offs) >= t.hand_offs:
+            return False
+        for ho in wi.hand_offs:
+            if not ho.ended and (ho.worker is w or not t.may_copy):
+                return False
+            if ho.outcome in NEVER_RAN or c.effect is Effect.RERUNNABLE:
+                continue
+            if c.effect is Effect.EXCLUSIVE or not self.same_group(c.group, ho.worker, w):
+                return False
+            # 0.5 s for the trip and the queue; a process younger than that send may not know the mark
+            if self.now + 0.5 > ho.sent_at + c.window or w.ready_at > ho.sent_at:
+                return False
+        return not self.young(w) or self.within_budget(wi, w)
+
+    @staticmethod
+    def same_group(group: Group, a: Worker, b: Worker) -> bool:
+        return (group is Group.ALL or group is Group.ZONE and a.zone == b.zone
+                or group is Group.CELL and a.cell == b.cell and a.zone == b.zone)
+
+    def within_budget(self, wi: WorkItem, w: Worker) -> bool:
+        """3: this scheduler's even part of what a cold worker bears in any span."""
+        t = self.terms
+        w.sends = [send for send in w.sends if self.now - send[0] < t.fall_span]
+        pace = max(w.pace, 0.2)
+        # half of the part: hints are rough, and what it turns away counts too
+        budget = 0.5 * t.fall_multiple * self.warmth(w) * self.slots(w) / pace * t.fall_span / t.schedulers
+        return sum(work for _, work in w.sends) + wi.work * wi.slots <= budget
+
+    def may_defer(self, wi: WorkItem) -> bool:
+        c = wi.category
+        return (c.effect is Effect.RERUNNABLE or c.effect is Effect.TICKETED and c.group is Group.ALL
+                or all(ho.outcome in NEVER_RAN for ho in wi.hand_offs))
+
+    # ---- decisions
+
+    def decisions(self) -> Iterator[Decision]:
+        if not self.subscribed and not self.asked and self.now >= self.ask_at:
+            self.asked = True
+            yield Subscribe()
+        while self.due and self.due[0][0] <= self.now:
+            yield from self.fall_due(heapq.heappop(self.due)[2])
+        while self.todo or self.undo or self.freed:
+            if self.undo:
+                ho = self.undo.popleft()
+                if not ho.ended and not ho.cancelled and self.terms.may_cancel:
+                    ho.cancelled = True
+                    yield Cancel(ho)
+            elif self.todo:
+                yield from self.place(self.todo.popleft())
+            else:
+                yield from self.copy(self.freed.popleft())
+        wake = self.due[0][0] if self.due else math.inf
+        if not self.subscribed:
+            wake = min(wake, max(self.ask_at, self.now + 0.05))
+        if wake < math.inf and (self.woken <= self.now or wake < self.woken):
+            self.woken = max(wake, self.now)
+            yield Wake(self.woken)
+
+    def fall_due(self, wi: WorkItem) -> Iterator[Decision]:
+        """4, 5: a look at a work item that should have begun, be due or is about to expire."""
+        if wi.answered:
+            return
+        if self.now >= wi.expiry_at - 0.011:
+            yield from self.answer(wi)
+            return
+        live = [ho for ho in wi.hand_offs if not ho.ended]
+        if not live:
+            self.todo.append(wi)
+            return
+        for ho in live:
+            if not ho.copy and self.silent(ho.worker):
+                self.doubted(ho.worker)
+        if any(ho.began_at and ho.worker.shun_until < self.now for ho in live):
+            self.at(min(wi.expiry_at - 0.01, self.now + max(0.5, live[0].run)), wi)
+            return
+        best = max(self.prospect(wi, ho.worker, ho) for ho in live)
+        if wi.category.effect is Effect.RERUNNABLE:
+            w = self.choose(wi)
+            # a move must promise clearly more, since the place in the queue is given up
+            if w is not None and self.prospect(wi, w) > best + 0.25:
+                self.undo.extend(ho for ho in live if not ho.ended)
+                yield self.hand(wi, w, False)
+                return
+        if best < 0.05 and not wi.category.tardy_credit:
+            yield from self.answer(wi)
+            return
+        self.at(min(wi.expiry_at - 0.01, self.now + 0.05 + 0.25 * max(0.0, wi.due_at - self.now)), wi)
+
+    def answer(self, wi: WorkItem) -> Iterator[Decision]:
+        """5: the final answer of a work item that opalwick gives up: deferred where that is true, else written off."""
+        wi.answered = True
+        for ho in wi.hand_offs:
+            if not ho.ended and not ho.cancelled and self.terms.may_cancel:
+                ho.cancelled = True
+                yield Cancel(ho)
+        if self.may_defer(wi):
+            yield Defer(wi, self.terms.retry_after)
+        else:
+            yield WriteOff(wi)
+
+    def place(self, wi: WorkItem) -> Iterator[Decision]:
+        if wi.answered or any(not ho.ended for ho in wi.hand_offs):
+            return
+        w = self.choose(wi)
+        if w is not None:
+            yield self.hand(wi, w, False)
+        elif not self.workers and self.now < wi.due_at - wi.work and not wi.hand_offs:
+            self.at(self.now + 0.1, wi)         # an empty list may fill before the item is late
+        else:
+            yield from self.answer(wi)
+
+    def run_at(self, wi: WorkItem, w: Worker) -> float:
+        return wi.work * w.pace / self.warmth(w)
+
+    def wait_at(self, wi: WorkItem, w: Worker) -> float:
+        slots = self.slots(w) * self.warmth(w)
+        over = w.busy + wi.slots - slots
+        return over * (w.backlog / w.busy) / slots if over > 0 and w.busy > 0 else 0.0
+
+    def prospect(self, wi: WorkItem, w: Worker, ho: HandOff | None = None) -> float:
+        """1: the chance that a work item meets its due time at a worker, from now or from a hand-off there."""
+        self.look(w)
+        run = self.run_at(wi, w)
+        if ho is not None:
+            if ho.worker.shun_until > self.now:
+                return 0.0
+            wait = 0.0 if ho.began_at else max(0.0, min(self.wait_at(wi, w), ho.sent_at + ho.wait - self.now))
+            run = max(0.0, run - (self.now - ho.began_at)) if ho.began_at else run
+        else:
+            wait = self.wait_at(wi, w)
+        spare = wi.due_at - self.now - wait - run
+        # spread of the guess: a third of what is guessed, and a trip
+        z = spare / (0.35 * (wait + run) + 0.02)
+        chance = 1.0 / (1.0 + math.exp(-max(-30.0, min(30.0, z))))
+        late = wi.category.tardy_credit
+        return chance + late * (1.0 - chance)
+
+    def choose(self, wi: WorkItem) -> Worker | None:
+        """The design's random draw, over the workers that promise about as much as the best one."""
+        t, c = self.terms, wi.category
+        worth = c.credit * (wi.work if t.by_work else 1.0) / self.value if self.value else 1.0
+        found, best = [], -math.inf
+        for w in self.workers:
+            held = len(w.flights) + len(w.lingering)
+            if not w.limit:
+                w.limit = 4.0 * self.slots(w)   # a queue of a few times the slots; full answers cut it
+            if held >= w.limit or (w.shun_until > self.now or w.doubt) and (held or w.shun_until > self.now):
+                continue
+            if not self.may(wi, w):
+                continue
+            gain = self.prospect(wi, w)
+            if gain < 0.1:                      # 5: it would only be in the way of others there
+                continue
+            gain = gain * worth - (t.price_cross if w.zone != t.zone else 0.0)
+            found.append((gain, w))
+            best = max(best, gain)
+        if not found:
+            return None
+        near = [w for gain, w in found if gain >= best - 0.05 * worth]
+        # the skip margin: one item over one and a half times the recent mean, so that small means still skip
+        calm = [w for w in near if len(w.flights) + len(w.lingering) <= 1.5 * w.mean + 1.0] or near
+        if wi.subject:                          # 6
+            return max(calm, key=lambda w: self.rank(wi.subject, w))
+        weights = [self.slots(w) / w.pace * self.warmth(w) for w in calm]
+        point = self.chance.draw() * sum(weights)
+        for w, weight in zip(calm, weights):
+            point -= weight
+            if point < 0:
+                return w
+        return calm[-1]
+
+    def rank(self, subject: int, w: Worker) -> float:
+        """6: the same figure at every scheduler; a fresh worker gets its part by age."""
+        mixed = Chance(subject * 0x9E3779B97F4A7C15 ^ w.id * 0xC2B2AE3D27D4EB4F)
+        mixed.draw()
+        return mixed.draw() * self.warmth(w)
+
+    def hand(self, wi: WorkItem, w: Worker, copy: bool) -> Send:
+        self.look(w)
+        wait, run = self.wait_at(wi, w), self.run_at(wi, w)
+        ho = HandOff(wi, w, len(wi.hand_offs), self.now, wait, run, copy)
+        self.note_mean(w)
+        if not wi.hand_offs:
+            self.firsts += 1
+            if wi.category.effect is Effect.RERUNNABLE:
+                self.join(wi, w)
+        wi.hand_offs.append(ho)
+        w.flights.add(ho)
+        w.seen_at = -1.0
+        if self.young(w):
+            w.sends.append((self.now, wi.work * wi.slots))
+        if not copy:                            # 4: looked at when it should have begun, with some patience
+            self.at(min(wi.expiry_at - 0.01, self.now + max(0.05, 1.5 * wait + 0.25 * run)), wi)
+        return Send(ho, wi.expiry_at - self.now)
+
+    def join(self, wi: WorkItem, w: Worker) -> None:
+        """The design's block: items of one category that need slots together, on distinct workers, none held."""
+        known = self.learned[wi.category]
+        block = known.open
+        if block is None or w in block.workers or all(other.answered for other in block.items):
+            known.open = wi.block = Block([wi], [w])
+            return
+        block.items.append(wi)
+        block.workers.append(w)
+        wi.block = block
+        known.open = None                       # of size two, as the design starts
+
+    def copy(self, freed: HandOff) -> Iterator[Decision]:
+        """The design's copy: a freed worker takes the next unfinished work item of its cyclic row."""
+        block, w = freed.wi.block, freed.worker
+        if block is None or w not in block.workers:
+            return
+        self.note_mean(w)
+        if len(w.flights) + len(w.lingering) >= w.mean or self.copies + 1 > 0.2 * self.firsts:
+            return
+        row, n = block.workers.index(w), len(block.items)
+        for step in range(n):
+            wi = block.items[(row + step) % n]
+            if not wi.answered and self.may(wi, w) and any(not ho.ended for ho in wi.hand_offs):
+                if not self.time_short(wi, w):
+                    self.copies += 1
+                    yield self.hand(wi, w, True)
+                return
+
+    def time_short(self, wi: WorkItem, w: Worker) -> bool:
+        """A copy that would end after the due time, or after the original is expected to, comes too late."""
+        self.look(w)
+        end = self.now + self.wait_at(wi, w) + self.run_at(wi, w)
+        first = min((max(ho.began_at or ho.sent_at + ho.wait, self.now - ho.run) + ho.run
+                     for ho in wi.hand_offs if not ho.ended), default=math.inf)
+        return end > wi.due_at or end > first
--- /dev/null
+++ b/opalwick/drill/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter between the drill wire and the decision module; the wire's names end here."""
--- /dev/null
+++ b/opalwick/drill/__main__.py
@@ -0,0 +1,25 @@
+"""python -m opalwick.drill: batches on standard input, replies on standard output."""
+from __future__ import annotations
+
+import gc
+import sys
+
+from opalwick.drill.codec import BadFrame, read_frame
+from opalwick.drill.host import BadStart, Host
+
+
+def main() -> int:
+    host = Host()
+    gc.freeze()
+    source, sink = sys.stdin.buffer, sys.stdout.buffer
+    try:
+        while (frame := read_frame(source)) is not None:
+            sink.write(host.answer(*frame))
+            sink.flush()
+    except (BadFrame, BadStart) as problem:
+        print(f"opalwick: {problem}", file=sys.stderr)
+        return 1
+    return 0
+
+
+sys.exit(main())
--- /dev/null
+++ b/opalwick/interface.py
@@ -0,0 +1,206 @@
+"""What a host hands to the decision module (`balance.py`) and what it gets back.
+
+The host makes the objects once, at its door, and hands them over; inside they point to each other.
+Times are seconds with fractions, on the host's clock.
+"""
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum, IntEnum
+from typing import NamedTuple, Union
+
+
+class Effect(Enum):
+    RERUNNABLE = "rerunnable"  # running it again does no harm
+    TICKETED = "ticketed"      # bears a mark by which a group of workers discards a repeat
+    EXCLUSIVE = "exclusive"    # must never run a second time
+
+
+class Group(Enum):
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Phase(IntEnum):
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+class ListForm(IntEnum):
+    CHANGES = 0
+    FULL = 1
+    CACHED = 2
+    FAILED = 3
+
+
+class Outcome(IntEnum):
+    FINISHED = 1
+    ERROR = 2
+    FULL = 3
+    TIMED_OUT = 4
+    NO_CONNECTION = 5
+    BROKEN = 6
+    CANCELLED = 7
+    NOT_SENT = 8
+
+
+# the outcomes that prove that nothing ran
+NEVER_RAN = frozenset({Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NOT_SENT})
+
+
+@dataclass(slots=True, eq=False)
+class Category:
+    credit: float
+    effect: Effect
+    group: Group
+    due: float          # seconds from the client's first try
+    stretch: float      # the due time grows by this multiple of the work item's own running time
+    expiry: float
+    tardy_credit: float
+    window: float       # how long the group discards repeats
+
+
+@dataclass(slots=True, eq=False)
+class Customer:
+    quota: float        # work items a second within its share, over all schedulers
+
+
+@dataclass(slots=True, eq=False)
+class Terms:
+    """What a scheduler is told once, at its start."""
+    categories: list[Category]
+    customers: list[Customer]
+    zone: int
+    position: int
+    schedulers: int
+    hand_offs: int            # at most, for one work item
+    may_copy: bool
+    may_cancel: bool
+    may_tell: bool
+    retry_after: float        # the longest advice a client honours; 0: clients take none
+    by_work: bool             # credit counts for each unit of work
+    excess_credit: float
+    price_cross: float
+    must_ask: bool
+    ask_every: float
+    fall_multiple: float
+    fall_span: float
+    cold_share: float
+    ramp: float
+    tells_start: bool
+    progress_every: float
+    report: tuple[str, ...]   # names from Report, in the order of the figures
+
+
+class Report:
+    """Names of the figures a worker may report."""
+    FREE_SLOTS = "free slots"
+    HELD = "held"
+    WAITING = "waiting"
+
+
+@dataclass(slots=True, eq=False)
+class Worker:
+    id: int
+    zone: int = 0
+    kind: int = 0
+    cell: int = 0
+    phase: Phase = Phase.READY
+    share: float = 1.0
+    ready_at: float = 0.0
+    flights: set[HandOff] = field(default_factory=set)
+    lingering: list[HandOff] = field(default_factory=list)  # cancelled, perhaps still being worked on
+    mean: float = 0.0          # recent mean of own in flight
+    mean_at: float = 0.0
+    slots: float = 0.0         # as far as reports have shown
+    others: float = 0.0        # work items of other schedulers, by its reports
+    others_at: float = -1e9
+    ran: float = 0.0           # seconds run, faded, against `asked`
+    asked: float = 0.0         # seconds of work asked for, faded
+    limit: float = 0.0         # own work items in flight, at most
+    sign_at: float = -1e9      # last sign that it works
+    doubt: int = 0             # times in a row that it was found silent
+    shun_until: float = -1e9
+    sends: list[tuple[float, float]] = field(default_factory=list)  # (time, work), while it is cold
+    told: dict[int, tuple[float, float, float]] = field(default_factory=dict)  # by peer: time, slots, work
+    seen_at: float = -1.0      # the moment the following three hold for
+    pace: float = 1.0          # seconds it needs for a second of work
+    busy: float = 0.0          # slots taken or waited for
+    backlog: float = 0.0       # seconds of slot time still to run
+
+
+@dataclass(slots=True, eq=False)
+class WorkItem:
+    id: int
+    category: Category
+    customer: Customer | None
+    subject: int               # 0: none
+    taken_at: float
+    expiry_at: float
+    hint: float                # seconds of work; 0: none
+    slots: float
+    repeat: bool               # the client says that it has asked before
+    work: float = 0.0
+    due_at: float = 0.0
+    hand_offs: list[HandOff] = field(default_factory=list)
+    answered: bool = False
+    block: Block | None = None
+    over_share: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class HandOff:
+    wi: WorkItem
+    worker: Worker
+    number: int
+    sent_at: float
+    wait: float                # expected, seconds
+    run: float                 # expected, seconds
+    copy: bool
+    began_at: float = 0.0      # 0: not known to have begun
+    ended: bool = False
+    cancelled: bool = False
+    outcome: Outcome | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Block:
+    """Work items of one category that need slots together; row i belongs to the worker of item i."""
+    items: list[WorkItem]
+    workers: list[Worker]
+
+
+# decisions
+class Send(NamedTuple):
+    ho: HandOff
+    give_up_after: float
+
+
+class Cancel(NamedTuple):
+    ho: HandOff
+
+
+class Defer(NamedTuple):
+    wi: WorkItem
+    come_back_in: float
+
+
+class WriteOff(NamedTuple):
+    wi: WorkItem
+
+
+class Subscribe(NamedTuple):
+    pass
+
+
+class Tell(NamedTuple):
+    text: bytes
+
+
+class Wake(NamedTuple):
+    at: float
+
+
+Decision = Union[Send, Cancel, Defer, WriteOff, Subscribe, Tell, Wake]
