--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -59,6 +59,9 @@
         self.woken = -1.0                       # when the next wake is due, as far as asked for
         self.firsts = self.copies = 0
         self.kinds: dict[int, list[float]] = {}  # kind: seconds run, seconds of work asked for
+        self.sizes: dict[int, float] = {}       # kind: slots
+        self.noise = 0.5                        # mean square of the log error of a guessed run; rough at first
+        self.others = 0.0                       # mean of others' work items over the workers
         self.value = 0.0                        # recent mean of credit a work item stands for
         self.subscribed, self.ask_at, self.asked, self.refused = not terms.must_ask, now, False, 0
 
@@ -164,13 +167,14 @@
                 held = x
             elif name == Report.WAITING:
                 waiting = x
-        if free >= 0:
-            w.slots = max(w.slots, float(round(free)))
+        if free >= 0:                           # one kind, one size: the most that any of them had free
+            self.sizes[w.kind] = max(self.sizes.get(w.kind, 1.0), float(round(free)))
         total = held if held >= 0 else (self.slots(w) - free + max(waiting, 0.0) if free >= 0 else -1.0)
         if total >= 0:
             # half old, half new: reports are late and noisy
             w.others += (max(0.0, total - w.mean) - w.others) * 0.5
             w.others_at = self.now
+            self.others += (w.others - self.others) * 0.05  # over about as many reports as there are workers
             w.seen_at = -1.0
 
     # ---- bookkeeping
@@ -198,6 +202,7 @@
         known = self.learned[wi.category]
         work = wi.hint or known.run
         taken = min(run, 8.0 * work)            # one freak does not condemn a worker
+        self.noise += (min(math.log(run / (work * w.pace)) ** 2, 4.0) - self.noise) * 0.02
         kind = self.kinds.setdefault(w.kind, [0.0, 0.0])
         # worker: about the last ten items; kind: about the last hundred
         w.ran, w.asked = w.ran * 0.9 + taken, w.asked * 0.9 + work
@@ -206,7 +211,7 @@
         known.run += ((run if not wi.hint else wi.hint) - known.run) / min(known.n, 100)
 
     def slots(self, w: Worker) -> float:
-        return w.slots or max((other.slots for other in self.workers if other.kind == w.kind), default=0.0) or 2.0
+        return self.sizes.get(w.kind, 2.0)      # two until a report tells: the least that lets two run together
 
     def young(self, w: Worker) -> bool:
         return self.now - w.ready_at < self.terms.ramp
@@ -224,7 +229,8 @@
         w.seen_at = self.now
         kind = self.kinds.get(w.kind)
         prior = kind[0] / kind[1] if kind and kind[1] > 0 else 1.0
-        ran, asked, backlog, busy, mean = w.ran, w.asked, 0.0, 0.0, 0.0
+        ran, asked, backlog, busy = w.ran, w.asked, 0.0, 0.0
+        mean = sum(known.run for known in self.learned.values()) / len(self.learned)
         if w.lingering:
             w.lingering = [ho for ho in w.lingering if (ho.began_at or ho.sent_at + ho.wait) + ho.run > self.now]
         for flights in (w.flights, w.lingering):
@@ -238,14 +244,14 @@
                     if spent > ho.run:          # it is slower than thought, or the item is heavier
                         ran, asked = ran + spent, asked + ho.wi.work
                 backlog += left * ho.wi.slots
-        weight = 0.5                            # seconds of work: a handful of items outweigh the kind
+        # speeds within a kind differ by about a fifth, a variance of 0.05: so many items outweigh the kind
+        weight = mean * max(1.0, self.noise / 0.05)
         w.pace = (weight * prior + ran) / (weight + asked)
         # reports older than a few of their periods say little
-        others = w.others * (0.5 ** ((self.now - w.others_at) / 3.0))
-        for learned in self.learned.values():
-            mean += learned.run / len(self.learned)
+        others = self.others + (w.others - self.others) * (0.5 ** ((self.now - w.others_at) / 3.0))
         w.busy = busy + others
-        w.backlog = backlog + others * mean * w.pace * 0.6
+        # a mean item of others is met halfway, and a heavy-tailed one later than that: 0.6
+        w.residual = (backlog + (others + 0.5) * mean * w.pace * 0.6) / (w.busy + 0.5)
 
     def silent(self, w: Worker) -> bool:
         """1: a worker that gives no sign while its oldest hand-off should long have given one."""
@@ -380,8 +386,10 @@
 
     def wait_at(self, wi: WorkItem, w: Worker) -> float:
         slots = self.slots(w) * self.warmth(w)
-        over = w.busy + wi.slots - slots
-        return over * (w.backlog / w.busy) / slots if over > 0 and w.busy > 0 else 0.0
+        over = (w.busy + wi.slots - slots) / 0.5
+        # half a slot of doubt about what others hold: a nearly full worker is worse than an empty one
+        over = 0.5 * (over if over > 20.0 else math.log1p(math.exp(over)))
+        return over * w.residual / slots
 
     def prospect(self, wi: WorkItem, w: Worker, ho: HandOff | None = None) -> float:
         """1: the chance that a work item meets its due time at a worker, from now or from a hand-off there."""
--- a/opalwick/interface.py
+++ b/opalwick/interface.py
@@ -114,7 +114,6 @@
     lingering: list[HandOff] = field(default_factory=list)  # cancelled, perhaps still being worked on
     mean: float = 0.0          # recent mean of own in flight
     mean_at: float = 0.0
-    slots: float = 0.0         # as far as reports have shown
     others: float = 0.0        # work items of other schedulers, by its reports
     others_at: float = -1e9
     ran: float = 0.0           # seconds run, faded, against `asked`
@@ -128,7 +127,7 @@
     seen_at: float = -1.0      # the moment the following three hold for
     pace: float = 1.0          # seconds it needs for a second of work
     busy: float = 0.0          # slots taken or waited for
-    backlog: float = 0.0       # seconds of slot time still to run
+    residual: float = 0.0      # seconds that a work item there has still to run, in the mean
 
 
 @dataclass(slots=True, eq=False)
