--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -204,8 +204,9 @@
         taken = min(run, 8.0 * work)            # one freak does not condemn a worker
         self.noise += (min(math.log(run / (work * w.pace)) ** 2, 4.0) - self.noise) * 0.02
         kind = self.kinds.setdefault(w.kind, [0.0, 0.0])
-        # worker: about the last ten items; kind: about the last hundred
-        w.ran, w.asked = w.ran * 0.9 + taken, w.asked * 0.9 + work
+        # kind: about the last hundred items
+        fade = math.exp((w.ran_at - self.now) / 10.0)
+        w.ran, w.asked, w.ran_at = w.ran * fade + taken, w.asked * fade + work, self.now
         kind[0], kind[1] = kind[0] * 0.99 + taken, kind[1] * 0.99 + work
         known.n += 1
         known.run += ((run if not wi.hint else wi.hint) - known.run) / min(known.n, 100)
@@ -228,8 +229,9 @@
             return
         w.seen_at = self.now
         kind = self.kinds.get(w.kind)
-        prior = kind[0] / kind[1] if kind and kind[1] > 0 else 1.0
-        ran, asked, backlog, busy = w.ran, w.asked, 0.0, 0.0
+        # what a worker has shown is forgotten over some ten seconds, so that one condemned by chance is tried again
+        fade = math.exp((w.ran_at - self.now) / 10.0)
+        ran, asked, backlog, busy = w.ran * fade, w.asked * fade, 0.0, 0.0
         mean = sum(known.run for known in self.learned.values()) / len(self.learned)
         if w.lingering:
             w.lingering = [ho for ho in w.lingering if (ho.began_at or ho.sent_at + ho.wait) + ho.run > self.now]
@@ -246,6 +248,7 @@
                 backlog += left * ho.wi.slots
         # speeds within a kind differ by about a fifth, a variance of 0.05: so many items outweigh the kind
         weight = mean * max(1.0, self.noise / 0.05)
+        prior = (weight + kind[0]) / (weight + kind[1]) if kind else 1.0
         w.pace = (weight * prior + ran) / (weight + asked)
         # reports older than a few of their periods say little
         others = self.others + (w.others - self.others) * (0.5 ** ((self.now - w.others_at) / 3.0))
--- a/opalwick/interface.py
+++ b/opalwick/interface.py
@@ -117,6 +117,7 @@
     others: float = 0.0        # work items of other schedulers, by its reports
     others_at: float = -1e9
     ran: float = 0.0           # seconds run, faded, against `asked`
+    ran_at: float = 0.0
     asked: float = 0.0         # seconds of work asked for, faded
     limit: float = 0.0         # own work items in flight, at most
     sign_at: float = -1e9      # last sign that it works
