--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -62,7 +62,7 @@
         self.sizes: dict[int, float] = {}       # kind: slots
         self.noise = 0.5                        # mean square of the log error of a guessed run; rough at first
         self.others = 0.0                       # mean of others' work items over the workers
-        self.value = 0.0                        # recent mean of credit a work item stands for
+        self.value = self.work = 0.0            # recent means of a work item's credit and work
         self.subscribed, self.ask_at, self.asked, self.refused = not terms.must_ask, now, False, 0
 
     # ---- inputs: only update what is known
@@ -101,9 +101,11 @@
         first_at = min(wi.taken_at, wi.expiry_at - known.allowance)
         wi.work = wi.hint if 0 < wi.hint < c.expiry else known.run
         wi.due_at = min(first_at + c.due + c.stretch * wi.work, wi.expiry_at)
-        worth = c.credit * (wi.work if self.terms.by_work else 1.0)
+        wi.worth = c.credit * (wi.work if self.terms.by_work else 1.0)
         # over about the last hundred, so that a heavy one does not set it alone
-        self.value += (worth - self.value) * (0.01 if self.value else 1.0)
+        pull = 0.01 if self.value else 1.0
+        self.value += (wi.worth - self.value) * pull
+        self.work += (wi.work - self.work) * pull
         self.todo.append(wi)
         self.at(wi.expiry_at - 0.01, wi)        # a few ticks before the expiry; ticks are of some milliseconds
 
@@ -167,8 +169,8 @@
                 held = x
             elif name == Report.WAITING:
                 waiting = x
-        if free >= 0:                           # one kind, one size: the most that any of them had free
-            self.sizes[w.kind] = max(self.sizes.get(w.kind, 1.0), float(round(free)))
+        if free >= 0:                           # one kind, one size: the most that any had free, less noise
+            self.sizes[w.kind] = max(self.sizes.get(w.kind, 1.0), float(int(0.9 * free + 0.5)))
         total = held if held >= 0 else (self.slots(w) - free + max(waiting, 0.0) if free >= 0 else -1.0)
         if total >= 0:
             # half old, half new: reports are late and noisy
@@ -356,7 +358,7 @@
                 self.undo.extend(ho for ho in live if not ho.ended)
                 yield self.hand(wi, w, False)
                 return
-        if best < 0.05 and not wi.category.tardy_credit:
+        if all(self.gain(wi, ho.worker, best) + wi.work / self.work * 0.5 < 0.0 for ho in live):
             yield from self.answer(wi)
             return
         self.at(min(wi.expiry_at - 0.01, self.now + 0.05 + 0.25 * max(0.0, wi.due_at - self.now)), wi)
@@ -412,10 +414,18 @@
         late = wi.category.tardy_credit
         return chance + late * (1.0 - chance)
 
+    def gain(self, wi: WorkItem, w: Worker, prospect: float) -> float:
+        """5: credit to be expected, in mean work items, less what the item takes from those that wait there.
+
+        A full queue's worth of waiting (as many as there are slots) is taken to cost the others as much as
+        their mean credit for the time that this one holds a slot; an empty slot costs nothing.
+        """
+        slots = self.slots(w) * self.warmth(w)
+        crowd = min(1.0, max(0.0, (w.busy + wi.slots - slots) / slots))
+        return prospect * wi.worth / self.value - 0.05 - crowd * wi.work / self.work
+
     def choose(self, wi: WorkItem) -> Worker | None:
         """The design's random draw, over the workers that promise about as much as the best one."""
-        t, c = self.terms, wi.category
-        worth = c.credit * (wi.work if t.by_work else 1.0) / self.value if self.value else 1.0
         found, best = [], -math.inf
         for w in self.workers:
             held = len(w.flights) + len(w.lingering)
@@ -425,15 +435,16 @@
                 continue
             if not self.may(wi, w):
                 continue
-            gain = self.prospect(wi, w)
-            if gain < 0.1:                      # 5: it would only be in the way of others there
+            gain = self.gain(wi, w, self.prospect(wi, w))
+            if gain < 0.0:
                 continue
-            gain = gain * worth - (t.price_cross if w.zone != t.zone else 0.0)
+            if w.zone != self.terms.zone:
+                gain -= self.terms.price_cross
             found.append((gain, w))
             best = max(best, gain)
         if not found:
             return None
-        near = [w for gain, w in found if gain >= best - 0.05 * worth]
+        near = [w for gain, w in found if gain >= best - 0.05 * wi.worth / self.value]
         # the skip margin: one item over one and a half times the recent mean, so that small means still skip
         calm = [w for w in near if len(w.flights) + len(w.lingering) <= 1.5 * w.mean + 1.0] or near
         if wi.subject:                          # 6
--- a/opalwick/interface.py
+++ b/opalwick/interface.py
@@ -142,7 +142,8 @@
     hint: float                # seconds of work; 0: none
     slots: float
     repeat: bool               # the client says that it has asked before
-    work: float = 0.0
+    work: float = 0.0          # expected, seconds
+    worth: float = 0.0         # credit it stands for
     due_at: float = 0.0
     hand_offs: list[HandOff] = field(default_factory=list)
     answered: bool = False
