--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -59,7 +59,7 @@
         self.woken = -1.0                       # when the next wake is due, as far as asked for
         self.firsts = self.copies = 0
         self.kinds: dict[int, list[float]] = {}  # kind: seconds run, seconds of work asked for
-        self.sizes: dict[int, float] = {}       # kind: slots
+        self.sizes: dict[int, list] = {}        # kind: slots seen, reports
         self.noise = 0.5                        # mean square of the log error of a guessed run; rough at first
         self.others = 0.0                       # mean of others' work items over the workers
         self.value = self.work = 0.0            # recent means of a work item's credit and work
@@ -169,8 +169,10 @@
                 held = x
             elif name == Report.WAITING:
                 waiting = x
-        if free >= 0:                           # one kind, one size: the most that any had free, less noise
-            self.sizes[w.kind] = max(self.sizes.get(w.kind, 1.0), float(int(0.9 * free + 0.5)))
+        if free >= 0:                           # one kind, one size: the most that any showed, less noise
+            size = self.sizes.setdefault(w.kind, [1.0, 0])
+            size[0] = max(size[0], float(int(0.9 * free + 0.5)))
+            size[1] += 1
         total = held if held >= 0 else (self.slots(w) - free + max(waiting, 0.0) if free >= 0 else -1.0)
         if total >= 0:
             # half old, half new: reports are late and noisy
@@ -214,7 +216,11 @@
         known.run += ((run if not wi.hint else wi.hint) - known.run) / min(known.n, 100)
 
     def slots(self, w: Worker) -> float:
-        return self.sizes.get(w.kind, 2.0)      # two until a report tells: the least that lets two run together
+        size = self.sizes.get(w.kind)
+        if size is not None and size[1] >= 50:  # fewer reports may all have come from full workers
+            return size[0]
+        # two until any report tells: the least that lets two run together
+        return max((other[0] for other in self.sizes.values()), default=2.0)
 
     def young(self, w: Worker) -> bool:
         return self.now - w.ready_at < self.terms.ramp
