--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -6,7 +6,8 @@
 
 The ordinary path is the design's: a random worker, skips, blocks, cyclic-row copies, cancels at the first finish.
 Beside the design stand six mechanisms, each marked by its number where it is decided:
-  1 sight      when a work item would end at a worker, from reports, notes, elapsed times and own hand-offs
+  1 sight      when a work item would end at a worker, from own hand-offs, notes, elapsed times, reports and what
+               the other schedulers say they have in flight
   2 limit      own work in flight at a worker, grown by one and cut by a share; silence cuts it to a trial
   3 cold       a fresh worker counts for less by its age, within a budget
   4 move       a further hand-off after one that ended without an answer or has not begun when it should have
@@ -21,7 +22,7 @@
 from collections.abc import Iterator, Sequence
 
 from opalwick.interface import (NEVER_RAN, Block, Cancel, Category, Decision, Defer, Effect, Group, HandOff, ListForm,
-                                Outcome, Phase, Report, Send, Subscribe, Terms, Wake, Worker, WorkItem, WriteOff)
+                                Outcome, Phase, Report, Send, Subscribe, Tell, Terms, Wake, Worker, WorkItem, WriteOff)
 
 
 class Chance:
@@ -61,6 +62,8 @@
         self.kinds: dict[int, list[float]] = {}  # kind: seconds run, seconds of work asked for
         self.sizes: dict[int, list] = {}        # kind: slots seen, reports
         self.noise = 0.5                        # mean square of the log error of a guessed run; rough at first
+        self.peers: dict[int, tuple[float, dict[Worker, tuple[float, float]]]] = {}  # what each said, and when
+        self.tell_at, self.told_any = now, False
         self.others = 0.0                       # mean of others' work items over the workers
         self.value = self.work = 0.0            # recent means of a work item's credit and work
         self.subscribed, self.ask_at, self.asked, self.refused = not terms.must_ask, now, False, 0
@@ -181,6 +184,10 @@
             self.others += (w.others - self.others) * 0.05  # over about as many reports as there are workers
             w.seen_at = -1.0
 
+    def told(self, peer: int, rows: Sequence[tuple[Worker, float, float]]) -> None:
+        """What another scheduler has in flight: worker, slots, seconds of slot time still to run."""
+        self.peers[peer] = self.now, {w: (slots, left) for w, slots, left in rows}
+
     # ---- bookkeeping
 
     def at(self, when: float, wi: WorkItem) -> None:
@@ -259,10 +266,23 @@
         prior = (weight + kind[0]) / (weight + kind[1]) if kind else 1.0
         w.pace = (weight * prior + ran) / (weight + asked)
         # reports older than a few of their periods say little
-        others = self.others + (w.others - self.others) * (0.5 ** ((self.now - w.others_at) / 3.0))
+        reported = self.others + (w.others - self.others) * (0.5 ** ((self.now - w.others_at) / 3.0))
+        w.busy_own, w.left_own = busy, backlog
+        others = theirs = 0.0
+        heard = 0
+        for at, rows in self.peers.values():
+            if self.now - at < 1.0:             # ten messages lost or late in a row: that scheduler is gone or cut off
+                heard += 1
+                if w in rows:
+                    others += rows[w][0]
+                    theirs += rows[w][1]
+        if heard < self.terms.schedulers - 1:   # reports stand in for those not heard of
+            unheard = reported * (1.0 - heard / (self.terms.schedulers - 1))
+            others += unheard
+            # a mean item of others is met halfway, and a heavy-tailed one later than that: 0.6
+            theirs += unheard * mean * w.pace * 0.6
         w.busy = busy + others
-        # a mean item of others is met halfway, and a heavy-tailed one later than that: 0.6
-        w.residual = (backlog + (others + 0.5) * mean * w.pace * 0.6) / (w.busy + 0.5)
+        w.residual = (backlog + theirs + 0.5 * mean * w.pace * 0.6) / (w.busy + 0.5)
 
     def silent(self, w: Worker) -> bool:
         """1: a worker that gives no sign while its oldest hand-off should long have given one."""
@@ -320,6 +340,15 @@
         if not self.subscribed and not self.asked and self.now >= self.ask_at:
             self.asked = True
             yield Subscribe()
+        if self.terms.may_tell and self.terms.schedulers > 1 and self.now >= self.tell_at:
+            # ten times a second: shorter than most work items run, and far from the price of a message each
+            self.tell_at = self.now + 0.1
+            for w in self.workers:
+                self.look(w)
+            rows = [(w, w.busy_own, w.left_own) for w in self.workers if w.flights or w.lingering]
+            if rows or self.told_any:
+                self.told_any = bool(rows)
+                yield Tell(rows)
         while self.due and self.due[0][0] <= self.now:
             yield from self.fall_due(heapq.heappop(self.due)[2])
         while self.todo or self.undo or self.freed:
@@ -335,6 +364,8 @@
         wake = self.due[0][0] if self.due else math.inf
         if not self.subscribed:
             wake = min(wake, max(self.ask_at, self.now + 0.05))
+        if self.terms.may_tell and self.terms.schedulers > 1 and (self.told_any or any(w.flights for w in self.workers)):
+            wake = min(wake, self.tell_at)
         if wake < math.inf and (self.woken <= self.now or wake < self.woken):
             self.woken = max(wake, self.now)
             yield Wake(self.woken)
--- a/opalwick/drill/host.py
+++ b/opalwick/drill/host.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import math
+import struct
 from typing import Any
 
 from opalwick.balance import Balancer
@@ -13,6 +14,7 @@
 _EFFECTS = {"repeatable": Effect.RERUNNABLE, "by_key": Effect.TICKETED, "once": Effect.EXCLUSIVE}
 _REPORT = {"active": Report.HELD, "waiting": Report.WAITING}
 _MICRO = 1e-6
+_ROW = struct.Struct("<IBH")  # what schedulers tell each other: worker, half slots, hundredths of a second
 
 
 class BadStart(Exception):
@@ -174,7 +176,11 @@
             self.balancer.reported(worker, metrics)
 
     def neighbour_says(self, clock: int, who: int, octets: bytes) -> None:
-        """Schedulers send each other nothing so far; what comes is passed over."""
+        if len(octets) % _ROW.size:
+            return                              # not one of ours: passed over
+        rows = [(self.workers[wid], slots * 0.5, left * 0.01) for wid, slots, left in _ROW.iter_unpack(octets)
+                if wid in self.workers]
+        self.balancer.told(who, rows)
 
     def wake(self, clock: int, key: int) -> None:
         """Setting the clock was all that was needed."""
@@ -201,8 +207,10 @@
                 reply.add("defer", max(clock + 1, math.ceil(at / _MICRO)), 0)
             case Subscribe():
                 reply.add("tail", 1)
-            case Tell(text):
-                reply.broadcast(text[:256])
+            case Tell(rows):
+                heaviest = sorted(rows, key=lambda row: -row[2])[:256 // _ROW.size]
+                reply.broadcast(b"".join(_ROW.pack(w.id, min(255, round(slots * 2)), min(65535, round(left * 100)))
+                                         for w, slots, left in heaviest))
 
 
 class Host:
--- a/opalwick/interface.py
+++ b/opalwick/interface.py
@@ -124,10 +124,11 @@
     doubt: int = 0             # times in a row that it was found silent
     shun_until: float = -1e9
     sends: list[tuple[float, float]] = field(default_factory=list)  # (time, work), while it is cold
-    told: dict[int, tuple[float, float, float]] = field(default_factory=dict)  # by peer: time, slots, work
-    seen_at: float = -1.0      # the moment the following three hold for
+    seen_at: float = -1.0      # the moment the following hold for
     pace: float = 1.0          # seconds it needs for a second of work
-    busy: float = 0.0          # slots taken or waited for
+    busy_own: float = 0.0      # slots taken or waited for by own work items
+    left_own: float = 0.0      # seconds of slot time that those still have to run
+    busy: float = 0.0          # slots taken or waited for, by all
     residual: float = 0.0      # seconds that a work item there has still to run, in the mean
 
 
@@ -197,7 +198,8 @@
 
 
 class Tell(NamedTuple):
-    text: bytes
+    """To the other schedulers: worker, slots in flight there, seconds of slot time still to run."""
+    rows: list[tuple[Worker, float, float]]
 
 
 class Wake(NamedTuple):
