--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -551,6 +551,10 @@
         """A copy that would end after the due time, or after the original is expected to, comes too late."""
         self.look(w)
         end = self.now + self.wait_at(wi, w) + self.run_at(wi, w)
-        first = min((max(ho.began_at or ho.sent_at + ho.wait, self.now - ho.run) + ho.run
-                     for ho in wi.hand_offs if not ho.ended), default=math.inf)
+        first = math.inf
+        for ho in wi.hand_offs:
+            if not ho.ended:
+                # what has not begun when it should have is expected to wait half as long again
+                begins = ho.began_at or max(ho.sent_at + ho.wait, self.now + 0.5 * (self.now - ho.sent_at))
+                first = min(first, max(begins + ho.run, self.now))
         return end > wi.due_at or end > first
--- /dev/null
+++ b/tests/test_design.py
@@ -0,0 +1,126 @@
+"""The design's ordinary path: blocks, the cyclic-row copy, its caps, the cancels."""
+from __future__ import annotations
+
+from helper import Bench
+from opalwick.interface import ListForm, Outcome, Phase
+
+
+def warmed(**changes) -> Bench:
+    """Ten work items done, so that copies are within a fifth of first sends and recent means are above nothing."""
+    bench = Bench("AB", **changes)
+    for name in "abcdefghij":
+        bench.take(name)
+        list(bench.balancer.decisions())
+        bench.wait(0.3)
+        bench.end(name)
+        list(bench.balancer.decisions())
+    bench.lines.clear()
+    return bench
+
+
+def pair(bench: Bench, work: float = 0.5) -> tuple[str, str]:
+    """x and y form a block; the one on A is returned first."""
+    bench.take("x", "y", work=work)
+    bench.pull("x and y taken")
+    on_a = bench.items["x"].hand_offs[0].worker is bench.workers["A"]
+    return ("x", "y") if on_a else ("y", "x")
+
+
+def test_a_freed_worker_copies_the_next_of_its_row() -> None:
+    bench = warmed()
+    first, second = pair(bench)
+    bench.begin(first)
+    bench.wait(0.2)
+    bench.end(first)
+    bench.pull(f"{first} finished, {second} has not begun")
+    bench.wait(0.1)
+    bench.end(second, 1)
+    bench.pull("the copy finished")
+    bench.matches("copy")
+
+
+def test_no_copy_for_a_worker_at_its_recent_mean() -> None:
+    bench = warmed()
+    first, second = pair(bench)
+    bench.begin(first)
+    bench.workers["A"].mean = 0.0
+    bench.end(first)
+    bench.pull(f"{first} finished, mean of its worker 0")
+    bench.matches("copy_mean")
+
+
+def test_no_copy_beyond_a_fifth_of_first_sends() -> None:
+    for copies in (1, 2):
+        bench = warmed()
+        bench.balancer.copies = copies
+        first, second = pair(bench)
+        bench.begin(first)
+        bench.wait(0.2)
+        bench.end(first)
+        bench.pull(f"{copies} copies before, 12 first sends")
+        bench.matches(f"copy_cap_{copies}")
+
+
+def test_no_copy_to_a_draining_worker_nor_when_time_is_short() -> None:
+    bench = warmed()
+    first, second = pair(bench)
+    bench.begin(first)
+    bench.wait(0.2)
+    bench.list(ListForm.CHANGES, A=Phase.DRAINING)
+    bench.end(first)
+    bench.pull("its worker drains")
+    bench.matches("copy_drain")
+    bench = warmed()
+    first, second = pair(bench)
+    bench.begin(first)
+    bench.begin(second)
+    bench.wait(0.2)
+    bench.end(first)
+    bench.pull("the original runs and ends sooner")
+    bench.matches("copy_late")
+
+
+def test_an_ignored_cancel_counts_until_it_would_have_ended() -> None:
+    bench = warmed()
+    first, second = pair(bench)
+    bench.begin(first)
+    bench.wait(0.2)
+    bench.end(first)
+    bench.pull(f"copy of {second}")
+    bench.begin(second, 1)
+    bench.wait(0.1)
+    bench.end(second, 0)
+    bench.pull("the original finished first")
+    bench.end(second, 1, Outcome.CANCELLED)
+    a = bench.workers["A"]
+    bench.lines.append(f"in flight at A: {len(a.flights)}, lingering {len(a.lingering)}")
+    bench.wait(1.0)
+    a.seen_at = -1.0
+    bench.balancer.look(a)
+    bench.lines.append(f"a second later: {len(a.lingering)}")
+    bench.matches("ignored_cancel")
+
+
+def test_a_block_holds_two_items_on_distinct_workers() -> None:
+    bench = warmed()
+    bench.balancer.firsts = 100
+    bench.take("x", "y", "z", work=0.5)
+    bench.pull("three taken, two workers")
+    bench.lines.append("blocks: " + " ".join(
+        "".join(sorted(chr(wi.id) for wi in bench.items[name].block.items)) for name in "xyz"))
+    bench.matches("blocks")
+
+
+def test_a_cancelled_copy_that_had_not_begun_frees_its_worker() -> None:
+    bench = warmed()
+    first, second = pair(bench)
+    bench.begin(first)
+    bench.wait(0.2)
+    bench.end(first)
+    bench.pull(f"copy of {second}")
+    bench.end(second, 0)
+    bench.take("p", "q", work=0.5)
+    bench.pull("the original finished, two more taken")
+    bench.end(second, 1, Outcome.CANCELLED)
+    bench.lines.append(f"freed, to be looked at: {len(bench.balancer.freed)}")
+    bench.matches("cancelled_copy")
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,121 @@
+"""The four rules, just inside and just outside their edges."""
+from __future__ import annotations
+
+from helper import START, Bench, category
+from opalwick.interface import Effect, Group, ListForm, Outcome, Phase
+
+
+def test_every_item_is_answered_before_its_expiry() -> None:
+    bench = Bench("A", [category(tardy_credit=0.5), category(Effect.EXCLUSIVE, tardy_credit=0.5)])
+    bench.take("x", expiry=2.0)
+    bench.take("y", category=1, expiry=2.0)
+    bench.pull("two taken")
+    bench.begin("x")
+    bench.begin("y")
+    bench.wait(2.1, "nothing had come back")
+    bench.matches("expiry")
+
+
+def test_what_may_have_run() -> None:
+    """Each outcome of the first hand-off, for each kind of category."""
+    kinds = [category(), category(Effect.TICKETED), category(Effect.TICKETED, Group.ZONE),
+             category(Effect.EXCLUSIVE)]
+    lines = []
+    for i, kind in enumerate(("rerunnable", "ticketed, all", "ticketed, zone", "exclusive")):
+        for outcome in Outcome:
+            if outcome is Outcome.FINISHED:
+                continue
+            bench = Bench("AB", kinds)
+            bench.list(ListForm.FULL, zones="01", A=Phase.READY, B=Phase.READY)
+            bench.workers["B"].limit = 1.0
+            bench.workers["B"].doubt, bench.workers["B"].shun_until = 1, START + 0.04
+            bench.take("x", category=i, work=0.4)
+            list(bench.balancer.decisions())
+            bench.wait(0.05)
+            bench.workers["A"].phase = Phase.DRAINING
+            bench.lines.clear()
+            bench.end("x", 0, outcome)
+            bench.pull(f"{kind}, A {outcome.name.lower()}")
+            lines += bench.lines
+    bench.lines = lines
+    bench.matches("may_have_run")
+
+
+def test_the_window_of_a_ticketed_item() -> None:
+    for seconds in (1.45, 1.55):
+        bench = Bench("AB", [category(Effect.TICKETED, due=5.0, expiry=9.0)])
+        bench.take("x")
+        bench.pull()
+        bench.wait(seconds)
+        bench.lines.clear()
+        bench.end("x", 0, Outcome.ERROR)
+        bench.pull("window 2 s, half a second kept for the trip")
+        bench.matches(f"window_{seconds}")
+
+
+def test_a_worker_restarted_since_may_not_know_the_ticket() -> None:
+    bench = Bench("AB", [category(Effect.TICKETED, Group.CELL, due=5.0)], ramp=0.1)
+    bench.take("x")
+    bench.pull()
+    used = chr(bench.items["x"].hand_offs[0].worker.id)
+    other = "B" if used == "A" else "A"
+    bench.wait(0.5)
+    bench.list(ListForm.CHANGES, ready={other: bench.now - 0.2}, **{other: Phase.READY})
+    bench.list(ListForm.CHANGES, **{used: Phase.DRAINING})
+    bench.end("x", 0, Outcome.BROKEN)
+    bench.pull("the other of the cell restarted after the send")
+    bench.matches("restarted_cell")
+
+
+def test_nothing_new_to_draining_gone_or_missing_workers() -> None:
+    bench = Bench("ABCD")
+    bench.list(ListForm.CHANGES, A=Phase.DRAINING, B=Phase.GONE)
+    bench.take("a", "b", "c")
+    bench.pull("A drains, B is gone")
+    bench.list(ListForm.FULL, A=Phase.READY, D=Phase.DRAINING)
+    bench.take("d", "e")
+    bench.pull("C is missing from a full list, D drains, A is ready again")
+    bench.matches("drains")
+
+
+def test_no_worker_at_all() -> None:
+    bench = Bench("")
+    bench.take("x", work=0.1)
+    bench.pull("empty list")
+    bench.wait(0.8, "none came")
+    bench.matches("no_worker")
+
+
+def test_the_budget_of_a_cold_worker() -> None:
+    bench = Bench("AB", schedulers=2)
+    bench.list(ListForm.FULL, ready={"B": START}, A=Phase.DRAINING, B=Phase.READY)
+    for name in "abcdefgh":
+        bench.take(name, work=0.4)
+    bench.pull("only a worker just started, budget 1.5 s of work")
+    bench.matches("cold")
+
+
+def test_asking_for_the_list() -> None:
+    bench = Bench("A", must_ask=True)
+    bench.pull("start")
+    for _ in range(5):
+        bench.list(ListForm.FAILED)
+        bench.wait(5.0, "it failed")
+    bench.list(ListForm.CHANGES)
+    bench.wait(9.0, "it came")
+    bench.matches("asking")
+
+
+def test_nonsense_is_passed_over() -> None:
+    bench = Bench("A")
+    before = dict(bench.balancer.sizes)
+    for figure in (float("nan"), float("inf"), -3.0, 1e30):
+        bench.balancer.reported(bench.workers["A"], (figure, figure, figure))
+    bench.balancer.told(9, [])
+    bench.take("x")
+    bench.pull(f"sizes unchanged {before == bench.balancer.sizes}")
+    bench.balancer.progressed(bench.items["x"].hand_offs[0], float("nan"))
+    bench.end("x")
+    bench.balancer.left(bench.items["x"])
+    bench.pull("the client left with the answer")
+    bench.matches("nonsense")
