--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -140,8 +140,11 @@
             elif ho.copy:
                 self.freed.append(ho)
         elif not ho.copy:                       # only originals count toward failure
-            w.limit = max(1.0, min(w.limit, len(w.flights) + 1.0) * 0.7)  # a share, as for a full queue
-            if outcome in (Outcome.NO_CONNECTION, Outcome.BROKEN):
+            if outcome is Outcome.FULL:
+                w.limit = max(1.0, min(w.limit, len(w.flights) + 1.0) * 0.7)  # 2: by a share, less than half
+            # a lone break at a worker that has answered since the send is not the worker's: when breaks hit hand-offs
+            # everywhere, shunning for each would leave no worker in use
+            elif outcome is Outcome.NO_CONNECTION or outcome is Outcome.BROKEN and w.sign_at < ho.sent_at:
                 self.doubted(w)
         if not wi.answered and all(other.ended for other in wi.hand_offs):
             self.todo.append(wi)
@@ -179,7 +182,10 @@
         total = held if held >= 0 else (self.slots(w) - free + max(waiting, 0.0) if free >= 0 else -1.0)
         if total >= 0:
             # half old, half new: reports are late and noisy
-            w.others += (max(0.0, total - w.mean) - w.others) * 0.5
+            # 0.7 s: about the age of a report. What was out longer than that is in it, which at a seldom used worker
+            # the recent mean does not show: unguarded, each answer reported its own work item as somebody else's
+            own = max(w.mean, sum(1 for ho in w.flights if ho.sent_at < self.now - 0.7))
+            w.others += (max(0.0, total - own) - w.others) * 0.5
             w.others_at = self.now
             self.others += (w.others - self.others) * 0.05  # over about as many reports as there are workers
             w.seen_at = -1.0
