--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -51,7 +51,8 @@
     def __init__(self, terms: Terms, seed: int, now: float) -> None:
         self.terms, self.now, self.chance = terms, now, Chance(seed)
         self.learned = {category: Learned(category) for category in terms.categories}
-        self.workers: list[Worker] = []         # on the list and ready
+        self.listed_all: dict[Worker, None] = {}
+        self.workers: list[Worker] = []         # of those, the ready ones
         self.todo: deque[WorkItem] = deque()    # to be handed off, or answered
         self.freed: deque[HandOff] = deque()    # whose worker may take a copy
         self.undo: deque[HandOff] = deque()
@@ -59,6 +60,7 @@
         self.serial = 0
         self.woken = -1.0                       # when the next wake is due, as far as asked for
         self.firsts = self.copies = 0
+        self.rate, self.taken_at = 0.0, now
         self.kinds: dict[int, list[float]] = {}  # kind: seconds run, seconds of work asked for
         self.sizes: dict[int, list] = {}        # kind: slots seen, reports
         self.noise = 0.5                        # mean square of the log error of a guessed run; rough at first
@@ -93,9 +95,8 @@
                 w.doubt, w.shun_until, w.others = 0, 0.0, 0.0   # a new process under the same id
             w.zone, w.kind, w.cell, w.phase, w.ready_at = zone, kind, cell, phase, ready_at
             w.share = share if 0 < share < 1e6 else 1.0
-            if phase is Phase.READY and w not in self.workers:
-                self.workers.append(w)
-        self.workers = [w for w in self.workers if w.phase is Phase.READY]
+            self.listed_all[w] = None
+        self.workers = [w for w in self.listed_all if w.phase is Phase.READY]
 
     def taken(self, wi: WorkItem) -> None:
         c, known = wi.category, self.learned[wi.category]
@@ -109,6 +110,9 @@
         pull = 0.01 if self.value else 1.0
         self.value += (wi.worth - self.value) * pull
         self.work += (wi.work - self.work) * pull
+        # work items a second, over about five seconds
+        self.rate = self.rate * math.exp((self.taken_at - self.now) / 5.0) + 0.2
+        self.taken_at = self.now
         self.todo.append(wi)
         self.at(wi.expiry_at - 0.01, wi)        # a few ticks before the expiry; ticks are of some milliseconds
 
@@ -327,12 +331,18 @@
                 or group is Group.CELL and a.cell == b.cell and a.zone == b.zone)
 
     def within_budget(self, wi: WorkItem, w: Worker) -> bool:
-        """3: this scheduler's even part of what a cold worker bears in any span."""
+        """3: this scheduler's part of what a cold worker bears in any span.
+
+        Even parts would keep one work item out of a whole new fleet; where draws seldom meet, fewer share the budget.
+        """
         t = self.terms
         w.sends = [send for send in w.sends if self.now - send[0] < t.fall_span]
         pace = max(w.pace, 0.2)
         # half of the part: hints are rough, and what it turns away counts too
-        budget = 0.5 * t.fall_multiple * self.warmth(w) * self.slots(w) / pace * t.fall_span / t.schedulers
+        budget = 0.5 * t.fall_multiple * self.warmth(w) * self.slots(w) / pace * t.fall_span
+        # sends of all schedulers to meet here in a span, were all as busy as this one; two deviations above the mean
+        meet = self.rate * t.schedulers * t.fall_span / len(self.workers)
+        budget /= min(t.schedulers, 1.0 + meet + 2.0 * math.sqrt(meet))
         return sum(work for _, work in w.sends) + wi.work * wi.slots <= budget
 
     def may_defer(self, wi: WorkItem) -> bool:
@@ -394,7 +404,7 @@
             self.at(min(wi.expiry_at - 0.01, self.now + max(0.5, live[0].run)), wi)
             return
         best = max(self.prospect(wi, ho.worker, ho) for ho in live)
-        if wi.category.effect is Effect.RERUNNABLE:
+        if wi.category.effect is Effect.RERUNNABLE and len(wi.hand_offs) < self.terms.hand_offs:
             w = self.choose(wi)
             # a move must promise clearly more, since the place in the queue is given up
             if w is not None and self.prospect(wi, w) > best + 0.25:
@@ -404,7 +414,7 @@
         if all(self.gain(wi, ho.worker, best) + wi.work / self.work * 0.5 < 0.0 for ho in live):
             yield from self.answer(wi)
             return
-        self.at(min(wi.expiry_at - 0.01, self.now + 0.05 + 0.25 * max(0.0, wi.due_at - self.now)), wi)
+        self.at(min(wi.expiry_at - 0.01, self.now + 0.1 + 0.25 * abs(wi.due_at - self.now)), wi)
 
     def answer(self, wi: WorkItem) -> Iterator[Decision]:
         """5: the final answer of a work item that opalwick gives up: deferred where that is true, else written off."""
@@ -433,11 +443,11 @@
         return wi.work * w.pace / self.warmth(w)
 
     def wait_at(self, wi: WorkItem, w: Worker) -> float:
-        slots = self.slots(w) * self.warmth(w)
+        slots = self.slots(w)
         over = (w.busy + wi.slots - slots) / 0.5
         # half a slot of doubt about what others hold: a nearly full worker is worse than an empty one
         over = 0.5 * (over if over > 20.0 else math.log1p(math.exp(over)))
-        return over * w.residual / slots
+        return over * w.residual / (slots * self.warmth(w))
 
     def prospect(self, wi: WorkItem, w: Worker, ho: HandOff | None = None) -> float:
         """1: the chance that a work item meets its due time at a worker, from now or from a hand-off there."""
@@ -463,14 +473,14 @@
         A full queue's worth of waiting (as many as there are slots) is taken to cost the others as much as
         their mean credit for the time that this one holds a slot; an empty slot costs nothing.
         """
-        slots = self.slots(w) * self.warmth(w)
+        slots = self.slots(w)
         crowd = min(1.0, max(0.0, (w.busy + wi.slots - slots) / slots))
         return prospect * wi.worth / self.value - 0.05 - crowd * wi.work / self.work
 
     def choose(self, wi: WorkItem) -> Worker | None:
         """The design's random draw, over the workers that promise about as much as the best one."""
         found, best = [], -math.inf
-        for w in self.workers:
+        for w in self.some(wi.subject):
             held = len(w.flights) + len(w.lingering)
             if not w.limit:
                 w.limit = 4.0 * self.slots(w)   # a queue of a few times the slots; full answers cut it
@@ -500,6 +510,22 @@
                 return w
         return calm[-1]
 
+    def some(self, subject: int) -> list[Worker]:
+        """The workers that are looked at for one draw."""
+        # sixteen: CPU is scarce, and the best of sixteen random ones is about as good as the best of all
+        if len(self.workers) <= 16:
+            return self.workers
+        if subject:
+            return heapq.nlargest(16, self.workers, key=lambda w: self.rank(subject, w))
+        drawn: dict[Worker, None] = {}
+        for _ in range(32):                     # some meet a cold worker, which counts by its age, or one drawn already
+            w = self.workers[int(self.chance.draw() * len(self.workers))]
+            if not self.young(w) or self.chance.draw() < self.warmth(w):
+                drawn[w] = None
+            if len(drawn) == 16:
+                break
+        return list(drawn)
+
     def rank(self, subject: int, w: Worker) -> float:
         """6: the same figure at every scheduler; a fresh worker gets its part by age."""
         mixed = Chance(subject * 0x9E3779B97F4A7C15 ^ w.id * 0xC2B2AE3D27D4EB4F)
