--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -154,9 +154,12 @@
             self.todo.append(wi)
 
     def began(self, ho: HandOff) -> None:
-        if not ho.began_at:
-            ho.began_at = self.now
-            self.sign(ho.worker)
+        if ho.began_at:
+            return
+        w, ho.began_at = ho.worker, self.now
+        self.sign(w)
+        if self.now - ho.sent_at < self.NOTE_IN:    # a slot was free: others hold no more than the rest
+            self.seen_others(w, min(w.others, max(0.0, self.slots(w) - self.begun(w))))
 
     def progressed(self, ho: HandOff, share: float) -> None:
         if not 0 < share <= 1:                  # an odd note is passed over
@@ -200,6 +203,15 @@
 
     # ---- bookkeeping
 
+    # in seconds: a connection opened over the slowest trips between zones, the work sent and the note come back
+    NOTE_IN = 0.1
+
+    def begun(self, w: Worker) -> int:
+        return sum(1 for ho in w.flights if ho.began_at) + len(w.lingering)
+
+    def seen_others(self, w: Worker, others: float) -> None:
+        w.others, w.others_at, w.seen_at = others, self.now, -1.0
+
     def at(self, when: float, wi: WorkItem) -> None:
         self.serial += 1
         heapq.heappush(self.due, (when, self.serial, wi))
@@ -403,11 +415,16 @@
         if any(ho.began_at and ho.worker.shun_until < self.now for ho in live):
             self.at(min(wi.expiry_at - 0.01, self.now + max(0.5, live[0].run)), wi)
             return
+        for ho in live:
+            if self.terms.tells_start and self.now - ho.sent_at >= self.NOTE_IN:
+                # 1: no note that it began: others hold every slot, whatever the last report said
+                self.seen_others(ho.worker, max(ho.worker.others, self.slots(ho.worker) - self.begun(ho.worker)))
         best = max(self.prospect(wi, ho.worker, ho) for ho in live)
         if wi.category.effect is Effect.RERUNNABLE and len(wi.hand_offs) < self.terms.hand_offs:
             w = self.choose(wi)
-            # a move must promise clearly more, since the place in the queue is given up
-            if w is not None and self.prospect(wi, w) > best + 0.25:
+            # a move must promise clearly more, since the place in the queue is given up; and more yet where no note
+            # tells that it has not begun
+            if w is not None and self.prospect(wi, w) > best + (0.1 if self.terms.tells_start else 0.25):
                 self.undo.extend(ho for ho in live if not ho.ended)
                 yield self.hand(wi, w, False)
                 return
@@ -456,7 +473,13 @@
         if ho is not None:
             if ho.worker.shun_until > self.now:
                 return 0.0
-            wait = 0.0 if ho.began_at else max(0.0, min(self.wait_at(wi, w), ho.sent_at + ho.wait - self.now))
+            out = self.now - ho.sent_at
+            if ho.began_at:
+                wait = 0.0
+            elif self.terms.tells_start and out >= self.NOTE_IN:    # the next slot, or half as long again as so far
+                wait = max(w.residual / self.slots(w), ho.wait - out, 0.5 * out)
+            else:
+                wait = max(0.0, min(self.wait_at(wi, w), ho.wait - out))
             run = max(0.0, run - (self.now - ho.began_at)) if ho.began_at else run
         else:
             wait = self.wait_at(wi, w)
@@ -547,7 +570,8 @@
         if self.young(w):
             w.sends.append((self.now, wi.work * wi.slots))
         if not copy:                            # 4: looked at when it should have begun, with some patience
-            self.at(min(wi.expiry_at - 0.01, self.now + max(0.05, 1.5 * wait + 0.25 * run)), wi)
+            check = self.NOTE_IN if self.terms.tells_start else max(0.05, 1.5 * wait + 0.25 * run)
+            self.at(min(wi.expiry_at - 0.01, self.now + check), wi)
         return Send(ho, wi.expiry_at - self.now)
 
     def join(self, wi: WorkItem, w: Worker) -> None:
