--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -610,7 +610,8 @@
         first = math.inf
         for ho in wi.hand_offs:
             if not ho.ended:
-                # what has not begun when it should have is expected to wait half as long again
-                begins = ho.began_at or max(ho.sent_at + ho.wait, self.now + 0.5 * (self.now - ho.sent_at))
+                begins = ho.began_at or ho.sent_at + ho.wait
+                if not ho.began_at and self.terms.tells_start:  # as a look at it does: half as long again as so far
+                    begins = max(begins, self.now + 0.5 * (self.now - ho.sent_at))
                 first = min(first, max(begins + ho.run, self.now))
         return end > wi.due_at or end > first
