--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -520,7 +520,9 @@
             best = max(best, gain)
         if not found:
             return None
-        near = [w for gain, w in found if gain >= best - 0.05 * wi.worth / self.value]
+        # about equal: a twentieth; with a subject three tenths, since the time to fetch it is not in the guess
+        margin = 0.3 if wi.subject else 0.05
+        near = [w for gain, w in found if gain >= best - margin * wi.worth / self.value]
         # the skip margin: one item over one and a half times the recent mean, so that small means still skip
         calm = [w for w in near if len(w.flights) + len(w.lingering) <= 1.5 * w.mean + 1.0] or near
         if wi.subject:                          # 6
