--- /dev/null
+++ b/tests/test_sight.py
@@ -0,0 +1,103 @@
+"""What is judged of workers, and the failures found so far."""
+from __future__ import annotations
+
+from helper import Bench, category
+from opalwick.interface import Outcome
+
+
+def test_no_start_note_moves_an_item() -> None:
+    """i8b8146: an item waiting behind others was taken to be about to begin."""
+    bench = Bench("AB")
+    bench.take("x")
+    bench.pull()
+    bench.wait(0.5, "no note came")
+    full = bench.items["x"].hand_offs[0].worker
+    bench.lines.append(f"others seen there: {full.others:g}")
+    bench.matches("no_note")
+
+
+def test_a_start_note_keeps_an_item() -> None:
+    bench = Bench("AB")
+    bench.take("x")
+    bench.pull()
+    bench.begin("x")
+    bench.wait(0.5, "it had begun")
+    bench.matches("note")
+
+
+def test_a_report_does_not_count_own_items_as_others() -> None:
+    """i8b8146: a seldom used worker looked crowded by the item that it reported on."""
+    bench = Bench("A")
+    bench.take("x", work=2.0)
+    bench.pull()
+    bench.begin("x")
+    bench.wait(1.5)
+    bench.balancer.reported(bench.workers["A"], (3.0,))
+    bench.lines.append(f"others: {bench.workers['A'].others:g}")
+    bench.matches("own_report")
+
+
+def test_a_lone_break_does_not_shun_a_worker() -> None:
+    """if746ac: with breaks at every worker, shunning for each left none in use."""
+    bench = Bench("A")
+    bench.take("x", "y", work=0.5)
+    bench.pull()
+    bench.wait(0.05)
+    bench.begin("y")
+    bench.end("x", 0, Outcome.BROKEN)
+    bench.pull("x broke after y gave a sign")
+    bench.end("y", 0, Outcome.NO_CONNECTION)
+    bench.pull("y found no connection")
+    bench.matches("lone_break")
+
+
+def test_a_silent_worker_is_left_alone_and_tried_again() -> None:
+    bench = Bench("AB", tells_start=False)
+    hung = bench.workers["A"]
+    names = "abcdefghijklmnopqrstuvwxyz"
+    for name in names:
+        bench.take(name)
+        list(bench.balancer.decisions())
+        bench.wait(0.2)
+        for item in bench.items.values():
+            for ho in item.hand_offs:
+                if not ho.ended and ho.cancelled:
+                    bench.end(chr(item.id), ho.number, Outcome.CANCELLED)
+                elif not ho.ended and ho.worker is not hung:
+                    bench.end(chr(item.id), ho.number)
+        list(bench.balancer.decisions())
+    bench.lines = [f"items sent to the hung worker: {sum(1 for i in bench.items.values() for h in i.hand_offs if h.worker is hung)}"
+                   f" of {len(names)}"]
+    bench.matches("hung")
+
+
+def test_crowded_workers_defer_what_earns_least() -> None:
+    """id50b00: a standing queue of late work that never drained."""
+    bench = Bench("A", [category(credit=1.0, due=2.0), category(credit=10.0, due=2.0)])
+    names = "abcdefghijkl"
+    for i, name in enumerate(names):
+        bench.take(name, category=i % 2, work=0.5)
+        bench.pull()
+    bench.matches("crowded")
+
+
+def test_subjects_meet_at_one_worker() -> None:
+    """Water's quiet days: items of one subject went to ever other workers, which fetched it anew."""
+    for seed in (1, 2):
+        bench = Bench("ABCD", seed=seed)
+        bench.take("x", "y", "z", subject=77)
+        bench.pull("three of one subject")
+        bench.matches("subject")
+
+
+def test_a_kind_slow_by_chance_is_tried_again() -> None:
+    """Locks' rough-2: a few long items condemned a kind of worker, which was then never used."""
+    bench = Bench("AB", [category(due=0.4)])
+    w = bench.workers["A"]
+    w.ran, w.asked, w.ran_at = 20.0, 2.0, bench.now
+    for seconds in (0, 10, 30):
+        bench.now += seconds
+        bench.balancer.clock(bench.now)
+        bench.balancer.look(w)
+        bench.lines.append(f"pace {w.pace:.1f}")
+    bench.matches("pace")
