--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -21,8 +21,9 @@
 from collections import deque
 from collections.abc import Iterator, Sequence
 
-from opalwick.interface import (NEVER_RAN, Block, Cancel, Category, Decision, Defer, Effect, Group, HandOff, ListForm,
-                                Outcome, Phase, Report, Send, Subscribe, Tell, Terms, Wake, Worker, WorkItem, WriteOff)
+from opalwick.interface import (NEVER_RAN, Block, Cancel, Category, Customer, Decision, Defer, Effect, Group,
+                                HandOff, ListForm, Outcome, Phase, Report, Send, Subscribe, Tell, Terms, Wake,
+                                Worker, WorkItem, WriteOff)
 
 
 class Chance:
@@ -110,6 +111,8 @@
         pull = 0.01 if self.value else 1.0
         self.value += (wi.worth - self.value) * pull
         self.work += (wi.work - self.work) * pull
+        if wi.customer is not None and self.over_share(wi.customer):
+            wi.worth *= self.terms.excess_credit
         # work items a second, over about five seconds
         self.rate = self.rate * math.exp((self.taken_at - self.now) / 5.0) + 0.2
         self.taken_at = self.now
@@ -209,6 +212,17 @@
     def begun(self, w: Worker) -> int:
         return sum(1 for ho in w.flights if ho.began_at) + len(w.lingering)
 
+    def over_share(self, customer: Customer) -> bool:
+        """5: a scheduler sees but its part of the traffic, so a customer's share is taken of that part."""
+        quota = sum(other.quota for other in self.terms.customers)
+        for other in self.terms.customers:      # a quarter above the share, and ten items saved up, for chance
+            other.saved = min(10.0, other.saved + 1.25 * other.quota / quota) if quota else 10.0
+        customer.saved -= 1.0
+        if customer.saved >= 0.0:
+            return False
+        customer.saved = 0.0
+        return True
+
     def seen_others(self, w: Worker, others: float) -> None:
         w.others, w.others_at, w.seen_at = others, self.now, -1.0
 
--- a/opalwick/interface.py
+++ b/opalwick/interface.py
@@ -65,6 +65,7 @@
 @dataclass(slots=True, eq=False)
 class Customer:
     quota: float        # work items a second within its share, over all schedulers
+    saved: float = 0.0  # work items that it may still send within its share
 
 
 @dataclass(slots=True, eq=False)
@@ -149,7 +150,6 @@
     hand_offs: list[HandOff] = field(default_factory=list)
     answered: bool = False
     block: Block | None = None
-    over_share: bool = False
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -5,8 +5,8 @@
 from pathlib import Path
 
 from opalwick.balance import Balancer
-from opalwick.interface import (Cancel, Category, Decision, Defer, Effect, Group, ListForm, Outcome, Phase, Report,
-                                Send, Subscribe, Tell, Terms, Wake, Worker, WorkItem, WriteOff)
+from opalwick.interface import (Cancel, Category, Customer, Decision, Defer, Effect, Group, ListForm, Outcome, Phase,
+                                Report, Send, Subscribe, Tell, Terms, Wake, Worker, WorkItem, WriteOff)
 
 TRACES = Path(__file__).parent / "traces"
 START = 1000.0
@@ -44,10 +44,10 @@
         self.balancer.listed(form, rows)
 
     def take(self, *names: str, category: int = 0, work: float = 0.2, expiry: float | None = None,
-             subject: int = 0) -> None:
+             subject: int = 0, customer: Customer | None = None) -> None:
         c = self.terms.categories[category]
         for name in names:
-            wi = WorkItem(ord(name[0]), c, None, subject, self.now, self.now + (expiry or c.expiry), work, 1.0, False)
+            wi = WorkItem(ord(name[0]), c, customer, subject, self.now, self.now + (expiry or c.expiry), work, 1.0, False)
             self.items[name] = wi
             self.balancer.taken(wi)
 
--- a/tests/test_sight.py
+++ b/tests/test_sight.py
@@ -2,7 +2,7 @@
 from __future__ import annotations
 
 from helper import Bench, category
-from opalwick.interface import Outcome
+from opalwick.interface import Customer, Outcome
 
 
 def test_no_start_note_moves_an_item() -> None:
@@ -101,3 +101,19 @@
         bench.balancer.look(w)
         bench.lines.append(f"pace {w.pace:.1f}")
     bench.matches("pace")
+
+
+def test_traffic_beyond_a_share_does_not_push_out_traffic_within_one() -> None:
+    """i959873: with a third of the workers lost, all customers were deferred alike."""
+    greedy, modest = Customer(quota=5.0), Customer(quota=5.0)
+    bench = Bench("A", [category(due=2.0, credit=1.0)], customers=[greedy, modest])
+    customers = {}
+    for i in range(40):
+        name = chr(0x61 + i)
+        bench.take(name, work=0.1, customer=modest if i % 8 == 7 else greedy)
+        customers[name] = "modest" if i % 8 == 7 else "greedy"
+        list(bench.balancer.decisions())
+    for who in ("greedy", "modest"):
+        sent = [bool(bench.items[name].hand_offs) for name in customers if customers[name] == who]
+        bench.lines.append(f"{who}: {sum(sent)} of {len(sent)} sent")
+    bench.matches("shares")
