--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -1,13 +1,13 @@
 """All decisions of opalwick. The types of its inputs and decisions are defined in `interface.py`.
 
-How to call it: one Balancer a scheduler. Set the time with clock(), hand in what happened (listed, taken, left,
-ended, began, progressed, reported), which only updates what is known, then pull decisions() until none is left;
-each decision counts as carried out once it is pulled.
-
-The ordinary path is the design's: a random worker, skips, blocks, cyclic-row copies, cancels at the first finish.
-Beside the design stand six mechanisms, each marked by its number where it is decided:
-  1 sight      when a work item would end at a worker, from own hand-offs, notes, elapsed times, reports and what
-               the other schedulers say they have in flight
+How to call it: one Balancer a scheduler. Set the time with clock(), hand in what happened (listed, taken,
+left, ended, began, progressed, reported, told), which only updates what is known, then pull decisions() until
+none is left; each decision counts as carried out once it is pulled.
+
+The ordinary path is the design's: a random worker, skips, blocks, cyclic-row copies, cancels at the first
+finish. Beside the design stand six mechanisms, each marked by its number where it is decided:
+  1 sight      when a work item would end at a worker, from own hand-offs, notes, elapsed times, reports
+               and what the other schedulers say they have in flight
   2 limit      own work in flight at a worker, grown by one and cut by a share; silence cuts it to a trial
   3 cold       a fresh worker counts for less by its age, within a budget
   4 move       a further hand-off after one that ended without an answer or has not begun when it should have
@@ -21,37 +21,15 @@
 from collections import deque
 from collections.abc import Iterator, Sequence
 
+from opalwick.chance import Chance
 from opalwick.interface import (NEVER_RAN, Block, Cancel, Category, Customer, Decision, Defer, Effect, Group,
                                 HandOff, ListForm, Outcome, Phase, Report, Send, Subscribe, Tell, Terms, Wake,
                                 Worker, WorkItem, WriteOff)
 
 
-class Chance:
-    """A linear congruential generator (Knuth's MMIX constants); its high bits are used."""
-
-    def __init__(self, seed: int) -> None:
-        self.state = seed
-
-    def draw(self) -> float:
-        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
-        return (self.state >> 33) / 2147483648.0
-
-
-class Learned:
-    """What a category has shown so far."""
-
-    def __init__(self, category: Category) -> None:
-        # until items have ended: a category is taken to be wanted within about its running time
-        self.run = max(category.due, 0.01)
-        self.n = 0
-        self.allowance = 0.0                    # the longest time left to a try: that of a first try
-        self.open: Block | None = None
-
-
 class Balancer:
     def __init__(self, terms: Terms, seed: int, now: float) -> None:
         self.terms, self.now, self.chance = terms, now, Chance(seed)
-        self.learned = {category: Learned(category) for category in terms.categories}
         self.listed_all: dict[Worker, None] = {}
         self.workers: list[Worker] = []         # of those, the ready ones
         self.todo: deque[WorkItem] = deque()    # to be handed off, or answered
@@ -64,10 +42,13 @@
         self.rate, self.taken_at = 0.0, now
         self.kinds: dict[int, list[float]] = {}  # kind: seconds run, seconds of work asked for
         self.sizes: dict[int, list] = {}        # kind: slots seen, reports
-        self.noise = 0.5                        # mean square of the log error of a guessed run; rough at first
-        self.peers: dict[int, tuple[float, dict[Worker, tuple[float, float]]]] = {}  # what each said, and when
+        self.noise = 0.5                        # mean square of a guessed run's log error; rough at first
+        # what each other scheduler said, and when
+        self.peers: dict[int, tuple[float, dict[Worker, tuple[float, float]]]] = {}
+        self.tells = terms.may_tell and terms.schedulers > 1
         self.tell_at, self.told_any = now, False
         self.others = 0.0                       # mean of others' work items over the workers
+        self.early = max(0.01, 2.0 * terms.tick)  # answers go out this long before the expiry: a few ticks
         self.value = self.work = 0.0            # recent means of a work item's credit and work
         self.subscribed, self.ask_at, self.asked, self.refused = not terms.must_ask, now, False, 0
 
@@ -80,8 +61,8 @@
         if form is not ListForm.CACHED and self.asked:
             self.asked, self.subscribed = False, form is not ListForm.FAILED
             self.refused = 0 if self.subscribed else self.refused + 1
-            # calls wait in one slow queue for all: the pause doubles, spread by chance, and stays under half of
-            # the time after which a scheduler that has not asked is deemed to know
+            # calls wait in one slow queue for all: the pause doubles, spread by chance, and stays under
+            # half of the time after which a scheduler that has not asked is deemed to know
             self.ask_at = self.now + min(0.5 * 2 ** self.refused * (0.5 + self.chance.draw()),
                                          0.4 * self.terms.ask_every)
         elif form is ListForm.FAILED:
@@ -91,25 +72,24 @@
         if form is not ListForm.CHANGES:
             for w in self.workers:
                 w.phase = Phase.GONE            # missing from a full list is gone
-        for w, zone, kind, cell, phase, share, ready_at in rows:
+        for w, zone, kind, cell, phase, ready_at in rows:
             if ready_at > w.ready_at and w.sign_at > 0:
                 w.doubt, w.shun_until, w.others = 0, 0.0, 0.0   # a new process under the same id
             w.zone, w.kind, w.cell, w.phase, w.ready_at = zone, kind, cell, phase, ready_at
-            w.share = share if 0 < share < 1e6 else 1.0
             self.listed_all[w] = None
         self.workers = [w for w in self.listed_all if w.phase is Phase.READY]
 
     def taken(self, wi: WorkItem) -> None:
-        c, known = wi.category, self.learned[wi.category]
-        known.allowance = max(known.allowance, min(wi.expiry_at - wi.taken_at, c.expiry))
+        c = wi.category
+        c.allowance = max(c.allowance, min(wi.expiry_at - wi.taken_at, c.expiry))
         # a client's own repeat has less time left than a first try: its due time counts from that first try
-        first_at = min(wi.taken_at, wi.expiry_at - known.allowance)
-        wi.work = wi.hint if 0 < wi.hint < c.expiry else known.run
+        first_at = min(wi.taken_at, wi.expiry_at - c.allowance)
+        wi.work = wi.hint if 0 < wi.hint < c.expiry else c.run
         wi.due_at = min(first_at + c.due + c.stretch * wi.work, wi.expiry_at)
         wi.worth = c.credit * (wi.work if self.terms.by_work else 1.0)
         # over about the last hundred, so that a heavy one does not set it alone
         pull = 0.01 if self.value else 1.0
-        self.value += (wi.worth - self.value) * pull
+        self.value += max(wi.worth, 1e-9) * pull - self.value * pull
         self.work += (wi.work - self.work) * pull
         if wi.customer is not None and self.over_share(wi.customer):
             wi.worth *= self.terms.excess_credit
@@ -117,17 +97,17 @@
         self.rate = self.rate * math.exp((self.taken_at - self.now) / 5.0) + 0.2
         self.taken_at = self.now
         self.todo.append(wi)
-        self.at(wi.expiry_at - 0.01, wi)        # a few ticks before the expiry; ticks are of some milliseconds
+        self.at(wi.expiry_at, wi)
 
     def left(self, wi: WorkItem) -> None:
         wi.answered = True
         self.undo.extend(ho for ho in wi.hand_offs if not ho.ended)
 
-    def ended(self, ho: HandOff, outcome: Outcome, answered: bool, took: float) -> None:
+    def ended(self, ho: HandOff, outcome: Outcome, answered: bool) -> None:
         wi, w = ho.wi, ho.worker
         self.note_mean(w)
         ho.ended, ho.outcome = True, outcome
-        w.flights.discard(ho)
+        w.flights.pop(ho, None)
         w.seen_at = -1.0
         wi.answered = wi.answered or answered
         if outcome in (Outcome.FINISHED, Outcome.ERROR, Outcome.FULL):
@@ -138,7 +118,7 @@
                 self.ran(wi, w, max(self.now - began, 1e-4))
             if len(w.flights) + 1 >= w.limit:
                 w.limit += 1
-            self.undo.extend(other for other in wi.hand_offs if not other.ended)
+            self.left(wi)
             self.freed.append(ho)
         elif outcome in (Outcome.CANCELLED, Outcome.TIMED_OUT):
             # an ignored cancel: work that had begun may go on, and counts in flight until it would have ended
@@ -147,11 +127,12 @@
             elif ho.copy:
                 self.freed.append(ho)
         elif not ho.copy:                       # only originals count toward failure
-            if outcome is Outcome.FULL:
+            # a worker that has given a sign since the send is up: a lone break there says nothing of it, and
+            # when it takes no connection it has too many. Shunning for each would leave no worker in use
+            up = w.sign_at >= ho.sent_at
+            if outcome is Outcome.FULL or outcome is Outcome.NO_CONNECTION and up:
                 w.limit = max(1.0, min(w.limit, len(w.flights) + 1.0) * 0.7)  # 2: by a share, less than half
-            # a lone break at a worker that has answered since the send is not the worker's: when breaks hit hand-offs
-            # everywhere, shunning for each would leave no worker in use
-            elif outcome is Outcome.NO_CONNECTION or outcome is Outcome.BROKEN and w.sign_at < ho.sent_at:
+            elif outcome in (Outcome.NO_CONNECTION, Outcome.BROKEN) and not up:
                 self.doubted(w)
         if not wi.answered and all(other.ended for other in wi.hand_offs):
             self.todo.append(wi)
@@ -192,8 +173,8 @@
         total = held if held >= 0 else (self.slots(w) - free + max(waiting, 0.0) if free >= 0 else -1.0)
         if total >= 0:
             # half old, half new: reports are late and noisy
-            # 0.7 s: about the age of a report. What was out longer than that is in it, which at a seldom used worker
-            # the recent mean does not show: unguarded, each answer reported its own work item as somebody else's
+            # 0.7 s: about the age of a report. What was out longer than that is in it, which at a seldom used
+            # worker the recent mean does not show: unguarded, each answer told of its own item as another's
             own = max(w.mean, sum(1 for ho in w.flights if ho.sent_at < self.now - 0.7))
             w.others += (max(0.0, total - own) - w.others) * 0.5
             w.others_at = self.now
@@ -206,7 +187,7 @@
 
     # ---- bookkeeping
 
-    # in seconds: a connection opened over the slowest trips between zones, the work sent and the note come back
+    # seconds: a connection opened over the slowest trips between zones, the work sent, the note come back
     NOTE_IN = 0.1
 
     def begun(self, w: Worker) -> int:
@@ -215,7 +196,7 @@
     def over_share(self, customer: Customer) -> bool:
         """5: a scheduler sees but its part of the traffic, so a customer's share is taken of that part."""
         quota = sum(other.quota for other in self.terms.customers)
-        for other in self.terms.customers:      # a quarter above the share, and ten items saved up, for chance
+        for other in self.terms.customers:      # a quarter above the share and ten items saved up, for chance
             other.saved = min(10.0, other.saved + 1.25 * other.quota / quota) if quota else 10.0
         customer.saved -= 1.0
         if customer.saved >= 0.0:
@@ -228,7 +209,7 @@
 
     def at(self, when: float, wi: WorkItem) -> None:
         self.serial += 1
-        heapq.heappush(self.due, (when, self.serial, wi))
+        heapq.heappush(self.due, (min(when, wi.expiry_at - self.early), self.serial, wi))
 
     def note_mean(self, w: Worker) -> None:
         # over five seconds: longer than most work items run, shorter than most troubles last
@@ -242,12 +223,13 @@
         """2: found silent or unreachable; a trial hand-off again after a pause that doubles."""
         if self.now >= w.shun_until:
             w.doubt += 1
-            w.shun_until = self.now + min(0.5 * 2 ** w.doubt, 8.0)  # from one second to the length of short troubles
+            # from one second to the length of short troubles
+            w.shun_until = self.now + min(0.5 * 2 ** w.doubt, 8.0)
             w.limit = max(1.0, w.limit * 0.5)
 
     def ran(self, wi: WorkItem, w: Worker, run: float) -> None:
-        known = self.learned[wi.category]
-        work = wi.hint or known.run
+        c = wi.category
+        work = wi.hint or c.run
         taken = min(run, 8.0 * work)            # one freak does not condemn a worker
         self.noise += (min(math.log(run / (work * w.pace)) ** 2, 4.0) - self.noise) * 0.02
         kind = self.kinds.setdefault(w.kind, [0.0, 0.0])
@@ -255,8 +237,8 @@
         fade = math.exp((w.ran_at - self.now) / 10.0)
         w.ran, w.asked, w.ran_at = w.ran * fade + taken, w.asked * fade + work, self.now
         kind[0], kind[1] = kind[0] * 0.99 + taken, kind[1] * 0.99 + work
-        known.n += 1
-        known.run += ((run if not wi.hint else wi.hint) - known.run) / min(known.n, 100)
+        c.ended += 1
+        c.run += ((wi.hint or run) - c.run) / min(c.ended, 100)
 
     def slots(self, w: Worker) -> float:
         size = self.sizes.get(w.kind)
@@ -280,12 +262,13 @@
             return
         w.seen_at = self.now
         kind = self.kinds.get(w.kind)
-        # what a worker has shown is forgotten over some ten seconds, so that one condemned by chance is tried again
+        # what a worker has shown is forgotten over some ten seconds: one condemned by chance is tried again
         fade = math.exp((w.ran_at - self.now) / 10.0)
         ran, asked, backlog, busy = w.ran * fade, w.asked * fade, 0.0, 0.0
-        mean = sum(known.run for known in self.learned.values()) / len(self.learned)
+        mean = sum(c.run for c in self.terms.categories) / len(self.terms.categories)
         if w.lingering:
-            w.lingering = [ho for ho in w.lingering if (ho.began_at or ho.sent_at + ho.wait) + ho.run > self.now]
+            w.lingering = [ho for ho in w.lingering
+                           if (ho.began_at or ho.sent_at + ho.wait) + ho.run > self.now]
         for flights in (w.flights, w.lingering):
             for ho in flights:
                 busy += ho.wi.slots
@@ -307,7 +290,7 @@
         others = theirs = 0.0
         heard = 0
         for at, rows in self.peers.values():
-            if self.now - at < 1.0:             # ten messages lost or late in a row: that scheduler is gone or cut off
+            if self.now - at < 1.0:             # ten messages lost in a row: it is gone or cut off
                 heard += 1
                 if w in rows:
                     others += rows[w][0]
@@ -321,14 +304,13 @@
         w.residual = (backlog + theirs + 0.5 * mean * w.pace * 0.6) / (w.busy + 0.5)
 
     def silent(self, w: Worker) -> bool:
-        """1: a worker that gives no sign while its oldest hand-off should long have given one."""
-        oldest = min((ho.sent_at + ho.wait + ho.run for ho in w.flights if not ho.copy), default=math.inf)
-        if oldest == math.inf:
+        """1: a worker that gives no sign while its first hand-off should long have given one."""
+        first = next((ho for ho in w.flights if not ho.copy), None)
+        if first is None:
             return False
-        since = max(w.sign_at, min(ho.sent_at for ho in w.flights))
         # thrice the usual: a lone slow worker still gives notes; and never less than two progress notes
-        patience = max(3.0 * (oldest - min(ho.sent_at for ho in w.flights)), 2.2 * self.terms.progress_every, 0.5)
-        return self.now - since > patience
+        patience = max(3.0 * (first.wait + first.run), 2.2 * self.terms.progress_every, 0.5)
+        return self.now - max(w.sign_at, first.sent_at) > patience
 
     # ---- the rules: every hand-off passes here
 
@@ -354,19 +336,19 @@
     @staticmethod
     def same_group(group: Group, a: Worker, b: Worker) -> bool:
         return (group is Group.ALL or group is Group.ZONE and a.zone == b.zone
-                or group is Group.CELL and a.cell == b.cell and a.zone == b.zone)
+                or group is Group.CELL and a.cell == b.cell)
 
     def within_budget(self, wi: WorkItem, w: Worker) -> bool:
         """3: this scheduler's part of what a cold worker bears in any span.
 
-        Even parts would keep one work item out of a whole new fleet; where draws seldom meet, fewer share the budget.
+        Even parts would keep a work item out of a whole new fleet; where draws seldom meet, fewer share it.
         """
         t = self.terms
         w.sends = [send for send in w.sends if self.now - send[0] < t.fall_span]
         pace = max(w.pace, 0.2)
         # half of the part: hints are rough, and what it turns away counts too
         budget = 0.5 * t.fall_multiple * self.warmth(w) * self.slots(w) / pace * t.fall_span
-        # sends of all schedulers to meet here in a span, were all as busy as this one; two deviations above the mean
+        # sends of all schedulers that meet here in a span, were all as busy as this one, and two deviations
         meet = self.rate * t.schedulers * t.fall_span / len(self.workers)
         budget /= min(t.schedulers, 1.0 + meet + 2.0 * math.sqrt(meet))
         return sum(work for _, work in w.sends) + wi.work * wi.slots <= budget
@@ -382,7 +364,7 @@
         if not self.subscribed and not self.asked and self.now >= self.ask_at:
             self.asked = True
             yield Subscribe()
-        if self.terms.may_tell and self.terms.schedulers > 1 and self.now >= self.tell_at:
+        if self.tells and self.now >= self.tell_at:
             # ten times a second: shorter than most work items run, and far from the price of a message each
             self.tell_at = self.now + 0.1
             for w in self.workers:
@@ -406,7 +388,7 @@
         wake = self.due[0][0] if self.due else math.inf
         if not self.subscribed:
             wake = min(wake, max(self.ask_at, self.now + 0.05))
-        if self.terms.may_tell and self.terms.schedulers > 1 and (self.told_any or any(w.flights for w in self.workers)):
+        if self.tells and (self.told_any or any(w.flights for w in self.workers)):
             wake = min(wake, self.tell_at)
         if wake < math.inf and (self.woken <= self.now or wake < self.woken):
             self.woken = max(wake, self.now)
@@ -416,7 +398,7 @@
         """4, 5: a look at a work item that should have begun, be due or is about to expire."""
         if wi.answered:
             return
-        if self.now >= wi.expiry_at - 0.011:
+        if self.now >= wi.expiry_at - self.early - 1e-6:
             yield from self.answer(wi)
             return
         live = [ho for ho in wi.hand_offs if not ho.ended]
@@ -427,33 +409,30 @@
             if not ho.copy and self.silent(ho.worker):
                 self.doubted(ho.worker)
         if any(ho.began_at and ho.worker.shun_until < self.now for ho in live):
-            self.at(min(wi.expiry_at - 0.01, self.now + max(0.5, live[0].run)), wi)
+            self.at(self.now + max(0.5, live[0].run), wi)
             return
         for ho in live:
             if self.terms.tells_start and self.now - ho.sent_at >= self.NOTE_IN:
                 # 1: no note that it began: others hold every slot, whatever the last report said
-                self.seen_others(ho.worker, max(ho.worker.others, self.slots(ho.worker) - self.begun(ho.worker)))
+                w = ho.worker
+                self.seen_others(w, max(w.others, self.slots(w) - self.begun(w)))
         best = max(self.prospect(wi, ho.worker, ho) for ho in live)
         if wi.category.effect is Effect.RERUNNABLE and len(wi.hand_offs) < self.terms.hand_offs:
             w = self.choose(wi)
-            # a move must promise clearly more, since the place in the queue is given up; and more yet where no note
-            # tells that it has not begun
+            # a move must promise clearly more, as the place in the queue is given up; and more yet where no
+            # note tells that it has not begun
             if w is not None and self.prospect(wi, w) > best + (0.1 if self.terms.tells_start else 0.25):
-                self.undo.extend(ho for ho in live if not ho.ended)
+                self.undo.extend(live)
                 yield self.hand(wi, w, False)
                 return
         if all(self.gain(wi, ho.worker, best) + wi.work / self.work * 0.5 < 0.0 for ho in live):
             yield from self.answer(wi)
             return
-        self.at(min(wi.expiry_at - 0.01, self.now + 0.1 + 0.25 * abs(wi.due_at - self.now)), wi)
+        self.at(self.now + 0.1 + 0.25 * abs(wi.due_at - self.now), wi)
 
     def answer(self, wi: WorkItem) -> Iterator[Decision]:
-        """5: the final answer of a work item that opalwick gives up: deferred where that is true, else written off."""
-        wi.answered = True
-        for ho in wi.hand_offs:
-            if not ho.ended and not ho.cancelled and self.terms.may_cancel:
-                ho.cancelled = True
-                yield Cancel(ho)
+        """5: the final answer of a work item given up: deferred where that is truthful, else written off."""
+        self.left(wi)
         if self.may_defer(wi):
             yield Defer(wi, self.terms.retry_after)
         else:
@@ -481,7 +460,7 @@
         return over * w.residual / (slots * self.warmth(w))
 
     def prospect(self, wi: WorkItem, w: Worker, ho: HandOff | None = None) -> float:
-        """1: the chance that a work item meets its due time at a worker, from now or from a hand-off there."""
+        """1: the chance that a work item meets its due time at a worker, from now or by a hand-off there."""
         self.look(w)
         run = self.run_at(wi, w)
         if ho is not None:
@@ -490,7 +469,8 @@
             out = self.now - ho.sent_at
             if ho.began_at:
                 wait = 0.0
-            elif self.terms.tells_start and out >= self.NOTE_IN:    # the next slot, or half as long again as so far
+            elif self.terms.tells_start and out >= self.NOTE_IN:
+                # the next slot, or half as long again as so far
                 wait = max(w.residual / self.slots(w), ho.wait - out, 0.5 * out)
             else:
                 wait = max(0.0, min(self.wait_at(wi, w), ho.wait - out))
@@ -534,7 +514,7 @@
             best = max(best, gain)
         if not found:
             return None
-        # about equal: a twentieth; with a subject three tenths, since the time to fetch it is not in the guess
+        # about equal: a twentieth; with a subject three tenths, as the time to fetch it is not in the guess
         margin = 0.3 if wi.subject else 0.05
         near = [w for gain, w in found if gain >= best - margin * wi.worth / self.value]
         # the skip margin: one item over one and a half times the recent mean, so that small means still skip
@@ -557,7 +537,7 @@
         if subject:
             return heapq.nlargest(16, self.workers, key=lambda w: self.rank(subject, w))
         drawn: dict[Worker, None] = {}
-        for _ in range(32):                     # some meet a cold worker, which counts by its age, or one drawn already
+        for _ in range(32):                     # some draw one again, or a cold one that counts by its age
             w = self.workers[int(self.chance.draw() * len(self.workers))]
             if not self.young(w) or self.chance.draw() < self.warmth(w):
                 drawn[w] = None
@@ -567,7 +547,7 @@
 
     def rank(self, subject: int, w: Worker) -> float:
         """6: the same figure at every scheduler; a fresh worker gets its part by age."""
-        mixed = Chance(subject * 0x9E3779B97F4A7C15 ^ w.id * 0xC2B2AE3D27D4EB4F)
+        mixed = Chance(subject * 0x9E3779B97F4A7C15 ^ w.id * 0xC2B2AE3D27D4EB4F)  # two odd constants, to mix
         mixed.draw()
         return mixed.draw() * self.warmth(w)
 
@@ -581,26 +561,25 @@
             if wi.category.effect is Effect.RERUNNABLE:
                 self.join(wi, w)
         wi.hand_offs.append(ho)
-        w.flights.add(ho)
+        w.flights[ho] = None
         w.seen_at = -1.0
         if self.young(w):
             w.sends.append((self.now, wi.work * wi.slots))
         if not copy:                            # 4: looked at when it should have begun, with some patience
             check = self.NOTE_IN if self.terms.tells_start else max(0.05, 1.5 * wait + 0.25 * run)
-            self.at(min(wi.expiry_at - 0.01, self.now + check), wi)
+            self.at(self.now + check, wi)
         return Send(ho, wi.expiry_at - self.now)
 
     def join(self, wi: WorkItem, w: Worker) -> None:
-        """The design's block: items of one category that need slots together, on distinct workers, none held."""
-        known = self.learned[wi.category]
-        block = known.open
+        """The design's block: items of one category that need slots together, on distinct workers."""
+        c, block = wi.category, wi.category.open
         if block is None or w in block.workers or all(other.answered for other in block.items):
-            known.open = wi.block = Block([wi], [w])
+            c.open = wi.block = Block([wi], [w])
             return
         block.items.append(wi)
         block.workers.append(w)
         wi.block = block
-        known.open = None                       # of size two, as the design starts
+        c.open = None                           # of size two, as the design starts
 
     def copy(self, freed: HandOff) -> Iterator[Decision]:
         """The design's copy: a freed worker takes the next unfinished work item of its cyclic row."""
@@ -627,7 +606,7 @@
         for ho in wi.hand_offs:
             if not ho.ended:
                 begins = ho.began_at or ho.sent_at + ho.wait
-                if not ho.began_at and self.terms.tells_start:  # as a look at it does: half as long again as so far
+                if not ho.began_at and self.terms.tells_start:  # as in prospect: half as long again
                     begins = max(begins, self.now + 0.5 * (self.now - ho.sent_at))
                 first = min(first, max(begins + ho.run, self.now))
         return end > wi.due_at or end > first
--- a/opalwick/drill/host.py
+++ b/opalwick/drill/host.py
@@ -84,7 +84,7 @@
                    for name in values.row("load-report.names"))
     return Terms(
         categories=categories, customers=customers, zone=int(values.number("az", 0.0)),
-        position=int(values.number("position")), schedulers=max(1, int(values.number("peers-total"))),
+        schedulers=max(1, int(values.number("peers-total"))),
         hand_offs=int(values.number("ceilings.max-hand-offs")),
         may_copy=values.flag("ceilings.parallel-tries"), may_cancel=values.flag("ceilings.may-cancel"),
         may_tell=values.flag("ceilings.peers"),
@@ -99,7 +99,8 @@
         fall_span=values.seconds("guarantees.fall-us"), cold_share=values.number("guarantees.cold-share"),
         ramp=values.seconds("guarantees.ramp-time-us"),
         tells_start=values.choice("family-info.tells-start", {"true": True, "false": False}, "false"),
-        progress_every=values.seconds("family-info.progress-us", 0.0), report=report)
+        progress_every=values.seconds("family-info.progress-us", 0.0),
+        tick=values.seconds("tick-us", 0.005), report=report)
 
 
 class Scheduler:
@@ -125,17 +126,18 @@
             worker = self.workers.get(wid)
             if worker is None:
                 worker = self.workers[wid] = Worker(wid)
-            rows.append((worker, zone, kind, cell, Phase(phase), share, ready_at * _MICRO))
+            rows.append((worker, zone, kind, cell, Phase(phase), ready_at * _MICRO))
         self.balancer.listed(ListForm(form), rows)
 
-    def inbound(self, clock: int, corr: int, profile: int, party: int, item: int, deadline: int, estimate: int,
-                slots: float, ram: float, options: int) -> None:
+    def inbound(self, clock: int, corr: int, profile: int, party: int, item: int, deadline: int,
+                estimate: int, slots: float, ram: float, options: int) -> None:
         if profile >= len(self.terms.categories):
             raise BadFrame(f"unknown category {profile}")
         customers = self.terms.customers
-        wi = WorkItem(corr, self.terms.categories[profile], customers[party] if party < len(customers) else None,
-                      item, clock * _MICRO, deadline * _MICRO, estimate * _MICRO if options & 1 else 0.0,
-                      slots if math.isfinite(slots) and 0 < slots < 1e4 else 1.0, bool(options & 2))
+        wi = WorkItem(corr, self.terms.categories[profile],
+                      customers[party] if party < len(customers) else None, item, clock * _MICRO,
+                      deadline * _MICRO, estimate * _MICRO if options & 1 else 0.0,
+                      slots if math.isfinite(slots) and 0 < slots < 1e4 else 1.0)
         self.items[corr] = wi
         self.balancer.taken(wi)
 
@@ -154,7 +156,7 @@
             return
         if outcome not in range(1, 9):
             raise BadFrame(f"unknown outcome {outcome}")
-        self.balancer.ended(ho, Outcome(outcome), bool(finished), duration * _MICRO)
+        self.balancer.ended(ho, Outcome(outcome), bool(finished))
         self._forget(ho.wi)
 
     def flowing(self, clock: int, corr: int, copy: int, duration: int, wid: int) -> None:
@@ -170,7 +172,8 @@
         elif topic == 2:
             self.balancer.progressed(ho, x)
 
-    def status_back(self, clock: int, outcome: int, wid: int, duration: int, metrics: tuple[float, ...]) -> None:
+    def status_back(self, clock: int, outcome: int, wid: int, duration: int,
+                    metrics: tuple[float, ...]) -> None:
         worker = self.workers.get(wid)
         if worker is not None and metrics:
             self.balancer.reported(worker, metrics)
@@ -193,7 +196,8 @@
         match decision:
             case Send(ho, give_up_after):
                 # rounded down: a time-out never reaches past the expiry
-                reply.add("dispatch", ho.wi.id, ho.worker.id, max(1, min(0xFFFFFFFF, int(give_up_after / _MICRO))))
+                time_out = max(1, min(0xFFFFFFFF, int(give_up_after / _MICRO)))
+                reply.add("dispatch", ho.wi.id, ho.worker.id, time_out)
             case Cancel(ho):
                 reply.add("undo_send", ho.wi.id, ho.number)
             case Defer(wi, come_back_in):
@@ -209,8 +213,9 @@
                 reply.add("tail", 1)
             case Tell(rows):
                 heaviest = sorted(rows, key=lambda row: -row[2])[:256 // _ROW.size]
-                reply.broadcast(b"".join(_ROW.pack(w.id, min(255, round(slots * 2)), min(65535, round(left * 100)))
-                                         for w, slots, left in heaviest))
+                reply.broadcast(b"".join(
+                    _ROW.pack(w.id, min(255, round(slots * 2)), min(65535, round(left * 100)))
+                    for w, slots, left in heaviest))
 
 
 class Host:
--- a/opalwick/interface.py
+++ b/opalwick/interface.py
@@ -60,6 +60,14 @@
     expiry: float
     tardy_credit: float
     window: float       # how long the group discards repeats
+    # what it has shown so far; at first it is taken to be wanted within about its running time
+    run: float = 0.0
+    ended: int = 0
+    allowance: float = 0.0      # the longest time left to a try: that of a first try
+    open: Block | None = None   # waits for one more work item
+
+    def __post_init__(self) -> None:
+        self.run = self.run or max(self.due, 0.01)
 
 
 @dataclass(slots=True, eq=False)
@@ -74,7 +82,6 @@
     categories: list[Category]
     customers: list[Customer]
     zone: int
-    position: int
     schedulers: int
     hand_offs: int            # at most, for one work item
     may_copy: bool
@@ -92,6 +99,7 @@
     ramp: float
     tells_start: bool
     progress_every: float
+    tick: float
     report: tuple[str, ...]   # names from Report, in the order of the figures
 
 
@@ -109,9 +117,8 @@
     kind: int = 0
     cell: int = 0
     phase: Phase = Phase.READY
-    share: float = 1.0
     ready_at: float = 0.0
-    flights: set[HandOff] = field(default_factory=set)
+    flights: dict[HandOff, None] = field(default_factory=dict)  # in the order sent
     lingering: list[HandOff] = field(default_factory=list)  # cancelled, perhaps still being worked on
     mean: float = 0.0          # recent mean of own in flight
     mean_at: float = 0.0
@@ -143,7 +150,6 @@
     expiry_at: float
     hint: float                # seconds of work; 0: none
     slots: float
-    repeat: bool               # the client says that it has asked before
     work: float = 0.0          # expected, seconds
     worth: float = 0.0         # credit it stands for
     due_at: float = 0.0
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -5,8 +5,8 @@
 from pathlib import Path
 
 from opalwick.balance import Balancer
-from opalwick.interface import (Cancel, Category, Customer, Decision, Defer, Effect, Group, ListForm, Outcome, Phase,
-                                Report, Send, Subscribe, Tell, Terms, Wake, Worker, WorkItem, WriteOff)
+from opalwick.interface import (Cancel, Category, Customer, Decision, Defer, Effect, Group, ListForm, Outcome,
+                                Phase, Report, Send, Subscribe, Tell, Terms, Wake, Worker, WorkItem, WriteOff)
 
 TRACES = Path(__file__).parent / "traces"
 START = 1000.0
@@ -20,11 +20,13 @@
 class Bench:
     """One scheduler, its workers named by letters, and the trace of what it decides."""
 
-    def __init__(self, workers: str = "ABCD", kinds: list[Category] | None = None, seed: int = 7, **changes) -> None:
-        terms = Terms(categories=kinds or [category()], customers=[], zone=0, position=0, schedulers=1, hand_offs=4,
+    def __init__(self, workers: str = "ABCD", kinds: list[Category] | None = None, seed: int = 7,
+                 **changes) -> None:
+        terms = Terms(categories=kinds or [category()], customers=[], zone=0, schedulers=1, hand_offs=4,
                       may_copy=True, may_cancel=True, may_tell=False, retry_after=1.0, by_work=True,
                       excess_credit=0.1, price_cross=0.0, must_ask=False, ask_every=10.0, fall_multiple=3.0,
                       fall_span=2.0, cold_share=0.25, ramp=10.0, tells_start=True, progress_every=1.0,
+                      tick=0.005,
                       report=(Report.FREE_SLOTS,))
         self.terms = replace(terms, **changes)
         self.now, self.lines, self.items = START, [], {}
@@ -39,7 +41,7 @@
         rows = []
         for i, (name, phase) in enumerate(phases.items()):
             w = self.workers.setdefault(name, Worker(ord(name)))
-            rows.append((w, int(zones[i]) if zones else w.zone, 0, int(cells[i]) if cells else w.cell, phase, 1.0,
+            rows.append((w, int(zones[i]) if zones else w.zone, 0, int(cells[i]) if cells else w.cell, phase,
                          (ready or {}).get(name, w.ready_at)))
         self.balancer.listed(form, rows)
 
@@ -47,14 +49,15 @@
              subject: int = 0, customer: Customer | None = None) -> None:
         c = self.terms.categories[category]
         for name in names:
-            wi = WorkItem(ord(name[0]), c, customer, subject, self.now, self.now + (expiry or c.expiry), work, 1.0, False)
+            wi = WorkItem(ord(name[0]), c, customer, subject, self.now, self.now + (expiry or c.expiry), work,
+                          1.0)
             self.items[name] = wi
             self.balancer.taken(wi)
 
     def end(self, name: str, number: int = 0, outcome: Outcome = Outcome.FINISHED) -> None:
         ho = self.items[name].hand_offs[number]
         done = self.items[name].answered or outcome is Outcome.FINISHED
-        self.balancer.ended(ho, outcome, done, self.now - ho.sent_at)
+        self.balancer.ended(ho, outcome, done)
 
     def begin(self, name: str, number: int = 0) -> None:
         self.balancer.began(self.items[name].hand_offs[number])
@@ -62,7 +65,8 @@
     def pull(self, note: str = "") -> list[Decision]:
         decisions = list(self.balancer.decisions())
         said = [text for decision in decisions if (text := self.word(decision))]
-        self.lines.append(f"{self.now - START:6.2f}  {note + ': ' if note else ''}{', '.join(said) or 'nothing'}")
+        note = note + ": " if note else ""
+        self.lines.append(f"{self.now - START:6.2f}  {note}{', '.join(said) or 'nothing'}")
         return decisions
 
     def wait(self, seconds: float, note: str = "") -> None:
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -6,7 +6,7 @@
 
 
 def warmed(**changes) -> Bench:
-    """Ten work items done, so that copies are within a fifth of first sends and recent means are above nothing."""
+    """Ten work items done, so that copies are within their share and recent means above nothing."""
     bench = Bench("AB", **changes)
     for name in "abcdefghij":
         bench.take(name)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -125,7 +125,7 @@
     """i4483a9: an even part of the cold budget was smaller than one work item."""
     names = "".join(chr(code) for code in range(0x100, 0x150))
     bench = Bench("A", schedulers=8)
-    bench.list(ListForm.FULL, ready={name: START - 3.0 for name in names}, **{name: Phase.READY for name in names})
+    bench.list(ListForm.FULL, ready=dict.fromkeys(names, START - 3.0), **dict.fromkeys(names, Phase.READY))
     bench.take("x", work=0.3)
     list(bench.balancer.decisions())
     bench.lines.append(f"x is out at a worker three seconds old: {len(bench.items['x'].hand_offs) == 1}")
--- a/tests/test_sight.py
+++ b/tests/test_sight.py
@@ -66,8 +66,8 @@
                 elif not ho.ended and ho.worker is not hung:
                     bench.end(chr(item.id), ho.number)
         list(bench.balancer.decisions())
-    bench.lines = [f"items sent to the hung worker: {sum(1 for i in bench.items.values() for h in i.hand_offs if h.worker is hung)}"
-                   f" of {len(names)}"]
+    sent = sum(ho.worker is hung for item in bench.items.values() for ho in item.hand_offs)
+    bench.lines = [f"items sent to the hung worker: {sent} of {len(names)}"]
     bench.matches("hung")
 
 
