--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -425,7 +425,10 @@
                 self.undo.extend(live)
                 yield self.hand(wi, w, False)
                 return
-        if all(self.gain(wi, ho.worker, best) + wi.work / self.work * 0.5 < 0.0 for ho in live):
+        # one that may still be in time has half its own time of grace, for the place it has waited for; one that
+        # is late has none: such items kept a burst's queue standing long after the burst
+        grace = 0.5 * wi.work / self.work if best >= 0.5 else 0.0
+        if all(self.gain(wi, ho.worker, best, wi.slots if grace else 0.0) + grace < 0.0 for ho in live):
             yield from self.answer(wi)
             return
         self.at(self.now + 0.1 + 0.25 * abs(wi.due_at - self.now), wi)
@@ -484,14 +487,14 @@
         late = wi.category.tardy_credit
         return chance + late * (1.0 - chance)
 
-    def gain(self, wi: WorkItem, w: Worker, prospect: float) -> float:
+    def gain(self, wi: WorkItem, w: Worker, prospect: float, more: float) -> float:
         """5: credit to be expected, in mean work items, less what the item takes from those that wait there.
 
         A full queue's worth of waiting (as many as there are slots) is taken to cost the others as much as
         their mean credit for the time that this one holds a slot; an empty slot costs nothing.
         """
         slots = self.slots(w)
-        crowd = min(1.0, max(0.0, (w.busy + wi.slots - slots) / slots))
+        crowd = min(1.0, max(0.0, (w.busy + more - slots) / slots))
         return prospect * wi.worth / self.value - 0.05 - crowd * wi.work / self.work
 
     def choose(self, wi: WorkItem) -> Worker | None:
@@ -505,7 +508,7 @@
                 continue
             if not self.may(wi, w):
                 continue
-            gain = self.gain(wi, w, self.prospect(wi, w))
+            gain = self.gain(wi, w, self.prospect(wi, w), wi.slots)
             if gain < 0.0:
                 continue
             if w.zone != self.terms.zone:
--- a/tests/test_sight.py
+++ b/tests/test_sight.py
@@ -117,3 +117,14 @@
         sent = [bool(bench.items[name].hand_offs) for name in customers if customers[name] == who]
         bench.lines.append(f"{who}: {sum(sent)} of {len(sent)} sent")
     bench.matches("shares")
+
+
+def test_a_late_waiting_item_makes_room() -> None:
+    """h6d9ccd: items that could only be late kept a burst's queue standing."""
+    bench = Bench("A", [category(tardy_credit=0.2, due=0.4, stretch=1.0, expiry=20.0)], hand_offs=3)
+    bench.take("x", "y", "z", "u", "v", "w", work=0.4)
+    bench.pull()
+    for name in "xyzu":
+        bench.begin(name)
+    bench.wait(2.0, "four run on, two wait")
+    bench.matches("late_waiting")
