--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -425,7 +425,7 @@
                 self.undo.extend(live)
                 yield self.hand(wi, w, False)
                 return
-        # one that may still be in time has half its own time of grace, for the place it has waited for; one that
+        # one that may still be in time has half its own time of grace, for the place it waited for; one that
         # is late has none: such items kept a burst's queue standing long after the burst
         grace = 0.5 * wi.work / self.work if best >= 0.5 else 0.0
         if all(self.gain(wi, ho.worker, best, wi.slots if grace else 0.0) + grace < 0.0 for ho in live):
