--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -421,7 +421,7 @@
             w = self.choose(wi)
             # a move must promise clearly more, as the place in the queue is given up; and more yet where no
             # note tells that it has not begun
-            if w is not None and self.prospect(wi, w) > best + (0.1 if self.terms.tells_start else 0.25):
+            if w is not None and self.prospect(wi, w) > best + (0.03 if self.terms.tells_start else 0.25):
                 self.undo.extend(live)
                 yield self.hand(wi, w, False)
                 return
