--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -612,4 +612,5 @@
                 if not ho.began_at and self.terms.tells_start:  # as in prospect: half as long again
                     begins = max(begins, self.now + 0.5 * (self.now - ho.sent_at))
                 first = min(first, max(begins + ho.run, self.now))
-        return end > wi.due_at or end > first
+        # half its run is kept in hand: guessed ends are rough, and a copy that loses is work wasted
+        return end > wi.due_at or end + 0.5 * self.run_at(wi, w) > first
