--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -127,8 +127,8 @@
             elif ho.copy:
                 self.freed.append(ho)
         elif not ho.copy:                       # only originals count toward failure
-            # a worker that has given a sign since the send is up: a lone break there says nothing of it, and
-            # when it takes no connection it has too many. Shunning for each would leave no worker in use
+            # a worker that has given a sign since the send is up: a break there says nothing of it, and when
+            # it takes no connection it has too many. Shunning for each would leave no worker in use
             up = w.sign_at >= ho.sent_at
             if outcome is Outcome.FULL or outcome is Outcome.NO_CONNECTION and up:
                 w.limit = max(1.0, min(w.limit, len(w.flights) + 1.0) * 0.7)  # 2: by a share, less than half
--- a/tests/test_sight.py
+++ b/tests/test_sight.py
@@ -40,17 +40,33 @@
 def test_a_lone_break_does_not_shun_a_worker() -> None:
     """if746ac: with breaks at every worker, shunning for each left none in use."""
     bench = Bench("A")
-    bench.take("x", "y", work=0.5)
+    bench.take("x", "y", "z", work=0.5)
     bench.pull()
     bench.wait(0.05)
-    bench.begin("y")
+    bench.begin("z")
+    bench.wait(0.02)
     bench.end("x", 0, Outcome.BROKEN)
-    bench.pull("x broke after y gave a sign")
-    bench.end("y", 0, Outcome.NO_CONNECTION)
-    bench.pull("y found no connection")
+    bench.pull("x broke after z gave a sign")
+    bench.wait(0.05)
+    bench.end("x", 1, Outcome.BROKEN)
+    bench.pull("x broke again, and no sign since the send")
     bench.matches("lone_break")
 
 
+def test_no_connection_at_a_worker_that_answers_does_not_shun_it() -> None:
+    """i26ca39: workers at their limit of connections were shunned, cleared and tried again at once."""
+    for sign in (True, False):
+        bench = Bench("A")
+        bench.take("x", "y", work=0.5)
+        bench.pull()
+        bench.wait(0.05)
+        if sign:
+            bench.begin("y")
+        bench.end("x", 0, Outcome.NO_CONNECTION)
+        bench.pull(f"sign since the send: {sign}")
+        bench.matches(f"no_connection_{sign}")
+
+
 def test_a_silent_worker_is_left_alone_and_tried_again() -> None:
     bench = Bench("AB", tells_start=False)
     hung = bench.workers["A"]
