--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -22,7 +22,7 @@
 from collections.abc import Iterator, Sequence
 
 from opalwick.chance import Chance
-from opalwick.interface import (NEVER_RAN, Block, Cancel, Category, Customer, Decision, Defer, Effect, Group,
+from opalwick.interface import (NEVER_RAN, Block, Cancel, Customer, Decision, Defer, Effect, Group,
                                 HandOff, ListForm, Outcome, Phase, Report, Send, Subscribe, Tell, Terms, Wake,
                                 Worker, WorkItem, WriteOff)
 
@@ -176,10 +176,8 @@
             # 0.7 s: about the age of a report. What was out longer than that is in it, which at a seldom used
             # worker the recent mean does not show: unguarded, each answer told of its own item as another's
             own = max(w.mean, sum(1 for ho in w.flights if ho.sent_at < self.now - 0.7))
-            w.others += (max(0.0, total - own) - w.others) * 0.5
-            w.others_at = self.now
+            self.seen_others(w, w.others + (max(0.0, total - own) - w.others) * 0.5)
             self.others += (w.others - self.others) * 0.05  # over about as many reports as there are workers
-            w.seen_at = -1.0
 
     def told(self, peer: int, rows: Sequence[tuple[Worker, float, float]]) -> None:
         """What another scheduler has in flight: worker, slots, seconds of slot time still to run."""
@@ -190,6 +188,10 @@
     # seconds: a connection opened over the slowest trips between zones, the work sent, the note come back
     NOTE_IN = 0.1
 
+    @staticmethod
+    def held(w: Worker) -> int:
+        return len(w.flights) + len(w.lingering)
+
     def begun(self, w: Worker) -> int:
         return sum(1 for ho in w.flights if ho.began_at) + len(w.lingering)
 
@@ -213,7 +215,7 @@
 
     def note_mean(self, w: Worker) -> None:
         # over five seconds: longer than most work items run, shorter than most troubles last
-        w.mean += (len(w.flights) + len(w.lingering) - w.mean) * -math.expm1((w.mean_at - self.now) / 5.0)
+        w.mean += (self.held(w) - w.mean) * -math.expm1((w.mean_at - self.now) / 5.0)
         w.mean_at = self.now
 
     def sign(self, w: Worker) -> None:
@@ -369,7 +371,7 @@
             self.tell_at = self.now + 0.1
             for w in self.workers:
                 self.look(w)
-            rows = [(w, w.busy_own, w.left_own) for w in self.workers if w.flights or w.lingering]
+            rows = [(w, w.busy_own, w.left_own) for w in self.workers if self.held(w)]
             if rows or self.told_any:
                 self.told_any = bool(rows)
                 yield Tell(rows)
@@ -471,13 +473,12 @@
                 return 0.0
             out = self.now - ho.sent_at
             if ho.began_at:
-                wait = 0.0
+                wait, run = 0.0, max(0.0, run - (self.now - ho.began_at))
             elif self.terms.tells_start and out >= self.NOTE_IN:
                 # the next slot, or half as long again as so far
                 wait = max(w.residual / self.slots(w), ho.wait - out, 0.5 * out)
             else:
                 wait = max(0.0, min(self.wait_at(wi, w), ho.wait - out))
-            run = max(0.0, run - (self.now - ho.began_at)) if ho.began_at else run
         else:
             wait = self.wait_at(wi, w)
         spare = wi.due_at - self.now - wait - run
@@ -501,10 +502,10 @@
         """The design's random draw, over the workers that promise about as much as the best one."""
         found, best = [], -math.inf
         for w in self.some(wi.subject):
-            held = len(w.flights) + len(w.lingering)
+            held = self.held(w)
             if not w.limit:
                 w.limit = 4.0 * self.slots(w)   # a queue of a few times the slots; full answers cut it
-            if held >= w.limit or (w.shun_until > self.now or w.doubt) and (held or w.shun_until > self.now):
+            if held >= w.limit or w.shun_until > self.now or w.doubt and held:
                 continue
             if not self.may(wi, w):
                 continue
@@ -521,7 +522,7 @@
         margin = 0.3 if wi.subject else 0.05
         near = [w for gain, w in found if gain >= best - margin * wi.worth / self.value]
         # the skip margin: one item over one and a half times the recent mean, so that small means still skip
-        calm = [w for w in near if len(w.flights) + len(w.lingering) <= 1.5 * w.mean + 1.0] or near
+        calm = [w for w in near if self.held(w) <= 1.5 * w.mean + 1.0] or near
         if wi.subject:                          # 6
             return max(calm, key=lambda w: self.rank(wi.subject, w))
         weights = [self.slots(w) / w.pace * self.warmth(w) for w in calm]
@@ -590,7 +591,7 @@
         if block is None or w not in block.workers:
             return
         self.note_mean(w)
-        if len(w.flights) + len(w.lingering) >= w.mean or self.copies + 1 > 0.2 * self.firsts:
+        if self.held(w) >= w.mean or self.copies + 1 > 0.2 * self.firsts:
             return
         row, n = block.workers.index(w), len(block.items)
         for step in range(n):
@@ -604,7 +605,8 @@
     def time_short(self, wi: WorkItem, w: Worker) -> bool:
         """A copy that would end after the due time, or after the original is expected to, comes too late."""
         self.look(w)
-        end = self.now + self.wait_at(wi, w) + self.run_at(wi, w)
+        run = self.run_at(wi, w)
+        end = self.now + self.wait_at(wi, w) + run
         first = math.inf
         for ho in wi.hand_offs:
             if not ho.ended:
@@ -613,4 +615,4 @@
                     begins = max(begins, self.now + 0.5 * (self.now - ho.sent_at))
                 first = min(first, max(begins + ho.run, self.now))
         # half its run is kept in hand: guessed ends are rough, and a copy that loses is work wasted
-        return end > wi.due_at or end + 0.5 * self.run_at(wi, w) > first
+        return end > wi.due_at or end + 0.5 * run > first
--- a/opalwick/drill/host.py
+++ b/opalwick/drill/host.py
@@ -116,6 +116,10 @@
         wi = self.items.get(corr)
         return wi.hand_offs[copy] if wi is not None and copy < len(wi.hand_offs) else None
 
+    def _report(self, wid: int, metrics: tuple[float, ...]) -> None:
+        if metrics and wid in self.workers:
+            self.balancer.reported(self.workers[wid], metrics)
+
     def view(self, clock: int, form: int, version: int, entries: list[tuple[Any, ...]]) -> None:
         if form not in (0, 1, 2, 3):
             raise BadFrame(f"unknown list form {form}")
@@ -148,9 +152,7 @@
 
     def response(self, clock: int, corr: int, detail: int, duration: int, copy: int, outcome: int, wid: int,
                  finished: int, metrics: tuple[float, ...]) -> None:
-        worker = self.workers.get(wid)
-        if worker is not None and metrics:
-            self.balancer.reported(worker, metrics)
+        self._report(wid, metrics)
         ho = self._hand_off(corr, copy)
         if ho is None or ho.ended:
             return
@@ -174,9 +176,7 @@
 
     def status_back(self, clock: int, outcome: int, wid: int, duration: int,
                     metrics: tuple[float, ...]) -> None:
-        worker = self.workers.get(wid)
-        if worker is not None and metrics:
-            self.balancer.reported(worker, metrics)
+        self._report(wid, metrics)
 
     def neighbour_says(self, clock: int, who: int, octets: bytes) -> None:
         if len(octets) % _ROW.size:
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -37,6 +37,14 @@
     return first, second
 
 
+def copied(bench: Bench) -> str:
+    """The item of a slow pair that has just got a copy."""
+    first, second = slow_pair(bench)
+    bench.end(first)
+    bench.pull(f"copy of {second}")
+    return second
+
+
 def test_a_freed_worker_copies_the_next_of_its_row() -> None:
     bench = warmed()
     first, second = slow_pair(bench)
@@ -86,9 +94,7 @@
 
 def test_an_ignored_cancel_counts_until_it_would_have_ended() -> None:
     bench = warmed()
-    first, second = slow_pair(bench)
-    bench.end(first)
-    bench.pull(f"copy of {second}")
+    second = copied(bench)
     bench.begin(second, 1)
     bench.wait(0.1)
     bench.end(second, 0)
@@ -115,9 +121,7 @@
 
 def test_a_cancelled_copy_that_had_not_begun_frees_its_worker() -> None:
     bench = warmed()
-    first, second = slow_pair(bench)
-    bench.end(first)
-    bench.pull(f"copy of {second}")
+    second = copied(bench)
     bench.end(second, 0)
     bench.take("p", "q", work=0.5)
     bench.pull("the original finished, two more taken")
