--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -23,8 +23,8 @@
 
 from opalwick.chance import Chance
 from opalwick.interface import (NEVER_RAN, Block, Cancel, Customer, Decision, Defer, Effect, Group,
-                                HandOff, ListForm, Outcome, Phase, Report, Send, Subscribe, Tell, Terms, Wake,
-                                Worker, WorkItem, WriteOff)
+                                HandOff, ListForm, Outcome, Phase, Report, Send, Subscribe, Sum, Tell, Terms,
+                                Wake, Worker, WorkItem, WriteOff, Zone)
 
 
 class Balancer:
@@ -43,10 +43,12 @@
         self.kinds: dict[int, list[float]] = {}  # kind: seconds run, seconds of work asked for
         self.sizes: dict[int, list] = {}        # kind: slots seen, reports
         self.noise = 0.5                        # mean square of a guessed run's log error; rough at first
-        # what each other scheduler said, and when
-        self.peers: dict[int, tuple[float, dict[Worker, tuple[float, float]]]] = {}
+        self.active: dict[Worker, None] = {}    # workers that hold work of ours
+        self.zones: dict[int, Zone] = {}        # of the workers, each with a scheduler that keeps its sums
+        # as a keeper: what each scheduler said of a zone, the oldest words first, and who is to be answered
+        self.words: dict[tuple[int, int], tuple[int, float, Sequence[tuple]]] = {}
+        self.askers: deque[tuple[int, int]] = deque()
         self.tells = terms.may_tell and terms.schedulers > 1
-        self.tell_at, self.told_any = now, False
         self.others = 0.0                       # mean of others' work items over the workers
         self.early = max(0.01, 2.0 * terms.tick)  # answers go out this long before the expiry: a few ticks
         self.value = self.work = 0.0            # recent means of a work item's credit and work
@@ -77,6 +79,8 @@
                 w.doubt, w.shun_until, w.others = 0, 0.0, 0.0   # a new process under the same id
             w.zone, w.kind, w.cell, w.phase, w.ready_at = zone, kind, cell, phase, ready_at
             self.listed_all[w] = None
+            if zone not in self.zones:
+                self.zones[zone] = Zone(zone, self.now + self.chance.draw() * self.TELL)
         self.workers = [w for w in self.listed_all if w.phase is Phase.READY]
 
     def taken(self, wi: WorkItem) -> None:
@@ -179,15 +183,49 @@
             self.seen_others(w, w.others + (max(0.0, total - own) - w.others) * 0.5)
             self.others += (w.others - self.others) * 0.05  # over about as many reports as there are workers
 
-    def told(self, peer: int, rows: Sequence[tuple[Worker, float, float]]) -> None:
-        """What another scheduler has in flight: worker, slots, seconds of slot time still to run."""
-        self.peers[peer] = self.now, {w: (slots, left) for w, slots, left in rows}
+    def told(self, peer: int, mark: int, zone: int, rows: Sequence[tuple[Worker, float, float]]) -> None:
+        """As a keeper: what a scheduler has in flight in a zone: worker, slots, seconds of slot time to run."""
+        key = peer, zone
+        if zone not in self.zones:
+            return
+        if key in self.words and 0 < (self.words[key][0] - mark) & 0xFFFFFFFF < 0x80000000:
+            return                              # older than what is known: it came late
+        self.unsay(key)
+        self.words[key] = mark, self.now, rows
+        self.zones[zone].kept += 1
+        for w, slots, left in rows:
+            w.kept_busy += slots
+            w.kept_left += left
+        self.askers.append(key)
+
+    def summed(self, peer: int, mark: int, zone: int, heard: int, rows: Sequence[tuple[Worker, float, float]]
+               ) -> None:
+        """A keeper's answer: what all others that it has heard of have in flight in a zone."""
+        z = self.zones.get(zone)
+        if z is None or not 0 <= (mark - z.answered) & 0xFFFFFFFF < 0x80000000:
+            return                              # of words before those answered last
+        z.answered, z.heard_at, z.unanswered = mark, self.now, 0
+        z.heard = min(1.0, heard / self.terms.schedulers)
+        for w, slots, left in rows:
+            w.told_busy, w.told_left, w.seen_at = slots, left, -1.0
 
     # ---- bookkeeping
 
     # seconds: a connection opened over the slowest trips between zones, the work sent, the note come back
     NOTE_IN = 0.1
 
+    TELL = 0.1  # seconds between words at the most: shorter than most work items run
+    # bytes: of a word with a few rows and of a row, for the price of words
+    WORD, ROW = 16, 4
+
+    def unsay(self, key: tuple[int, int]) -> None:
+        if key not in self.words:
+            return
+        self.zones[key[1]].kept -= 1
+        for w, slots, left in self.words.pop(key)[2]:
+            w.kept_busy -= slots
+            w.kept_left -= left
+
     @staticmethod
     def held(w: Worker) -> int:
         return len(w.flights) + len(w.lingering)
@@ -289,19 +327,13 @@
         # reports older than a few of their periods say little
         reported = self.others + (w.others - self.others) * (0.5 ** ((self.now - w.others_at) / 3.0))
         w.busy_own, w.left_own = busy, backlog
-        others = theirs = 0.0
-        heard = 0
-        for at, rows in self.peers.values():
-            if self.now - at < 1.0:             # ten messages lost in a row: it is gone or cut off
-                heard += 1
-                if w in rows:
-                    others += rows[w][0]
-                    theirs += rows[w][1]
-        if heard < self.terms.schedulers - 1:   # reports stand in for those not heard of
-            unheard = reported * (1.0 - heard / (self.terms.schedulers - 1))
-            others += unheard
-            # a mean item of others is met halfway, and a heavy-tailed one later than that: 0.6
-            theirs += unheard * mean * w.pace * 0.6
+        z = self.zones.get(w.zone)
+        # words of more than a second ago are about a load that is gone
+        heard = z.heard if z is not None and self.now - z.heard_at < 1.0 else 0.0
+        unheard = reported * (1.0 - heard)      # reports stand in for those not heard of
+        others = (w.told_busy if heard else 0.0) + unheard
+        # a mean item of others is met halfway, and a heavy-tailed one later than that: 0.6
+        theirs = (w.told_left if heard else 0.0) + unheard * mean * w.pace * 0.6
         w.busy = busy + others
         w.residual = (backlog + theirs + 0.5 * mean * w.pace * 0.6) / (w.busy + 0.5)
 
@@ -366,15 +398,8 @@
         if not self.subscribed and not self.asked and self.now >= self.ask_at:
             self.asked = True
             yield Subscribe()
-        if self.tells and self.now >= self.tell_at:
-            # ten times a second: shorter than most work items run, and far from the price of a message each
-            self.tell_at = self.now + 0.1
-            for w in self.workers:
-                self.look(w)
-            rows = [(w, w.busy_own, w.left_own) for w in self.workers if self.held(w)]
-            if rows or self.told_any:
-                self.told_any = bool(rows)
-                yield Tell(rows)
+        if self.tells:
+            yield from self.exchange()
         while self.due and self.due[0][0] <= self.now:
             yield from self.fall_due(heapq.heappop(self.due)[2])
         while self.todo or self.undo or self.freed:
@@ -390,12 +415,68 @@
         wake = self.due[0][0] if self.due else math.inf
         if not self.subscribed:
             wake = min(wake, max(self.ask_at, self.now + 0.05))
-        if self.tells and (self.told_any or any(w.flights for w in self.workers)):
-            wake = min(wake, self.tell_at)
+        if self.tells and (self.active or self.rate_now() > 0.05 or any(z.told_any for z in self.zones.values())):
+            wake = min(wake, min((z.tell_at for z in self.zones.values()), default=wake))
         if wake < math.inf and (self.woken <= self.now or wake < self.woken):
             self.woken = max(wake, self.now)
             yield Wake(self.woken)
 
+    def rate_now(self) -> float:
+        return self.rate * math.exp((self.taken_at - self.now) / 5.0)
+
+    def exchange(self) -> Iterator[Decision]:
+        """1: words to the keeper of each zone, and as a keeper the sums in answer.
+
+        A word to all grows with the square of the schedulers; to one keeper and back, a work item causes as
+        much whatever their number. A keeper that does not answer is passed over for the next in number.
+        """
+        t = self.terms
+        for z in self.zones.values():
+            if self.now < z.tell_at:
+                continue
+            self.active = {w: None for w in self.active if self.held(w)}
+            rows = [w for w in self.active if w.zone == z.id]
+            size = self.ROW * sum(1 for w in self.workers if w.zone == z.id) + self.WORD
+            rate = self.rate_now()
+            # half a point of price for each work item; a scheduler's own zone is what it mostly asks about
+            often = rate * 0.005 * 256 / (t.price_tell * size) if t.price_tell else 1e9
+            if z.id != t.zone and not rows:
+                often *= 0.2
+            z.tell_at = self.now + min(1.0, max(self.TELL, 1.0 / max(often, 1e-9)))
+            if not rows and not z.told_any and rate <= 0.05:
+                continue
+            z.told_any = bool(rows)
+            if z.unanswered >= 2:               # two in a row lost: it is gone or cut off
+                z.tries, z.unanswered, z.home_at = z.tries + 1, 0, self.now + 5.0
+            elif z.tries and self.now >= z.home_at:
+                z.tries = z.unanswered = 0
+            for w in rows:
+                self.look(w)
+            z.unanswered += 1
+            keeper, mark = (z.id + z.tries) % t.schedulers, int(self.now * 1000) & 0xFFFFFFFF
+            said = [(w, w.busy_own, w.left_own) for w in rows]
+            if keeper == t.position:
+                self.told(keeper, mark, z.id, said)
+            else:
+                yield Tell(keeper, mark, z.id, said)
+        while self.askers:
+            key = self.askers.popleft()
+            while self.words and self.now - next(iter(self.words.values()))[1] > 2.0:
+                self.unsay(next(iter(self.words)))
+            if key not in self.words:
+                continue
+            mark, _, rows = self.words[key]
+            own = {w: (slots, left) for w, slots, left in rows}
+            sums = []
+            for w in self.workers:
+                if w.zone == key[1]:
+                    slots, left = own.get(w, (0.0, 0.0))
+                    sums.append((w, max(0.0, w.kept_busy - slots), max(0.0, w.kept_left - left)))
+            if key[0] == t.position:
+                self.summed(key[0], mark, key[1], self.zones[key[1]].kept, sums)
+            else:
+                yield Sum(key[0], mark, key[1], self.zones[key[1]].kept, sums)
+
     def fall_due(self, wi: WorkItem) -> Iterator[Decision]:
         """4, 5: a look at a work item that should have begun, be due or is about to expire."""
         if wi.answered:
@@ -565,7 +646,7 @@
             if wi.category.effect is Effect.RERUNNABLE:
                 self.join(wi, w)
         wi.hand_offs.append(ho)
-        w.flights[ho] = None
+        w.flights[ho] = self.active[w] = None
         w.seen_at = -1.0
         if self.young(w):
             w.sends.append((self.now, wi.work * wi.slots))
--- a/opalwick/drill/codec.py
+++ b/opalwick/drill/codec.py
@@ -108,8 +108,8 @@
     def add(self, name: str, *fields: int) -> None:
         self._parts.append(_OUT[name].pack(_CODES[name], *fields))
 
-    def broadcast(self, octets: bytes) -> None:
-        self._parts.append(struct.pack("<BHH", 40, 0xFFFF, len(octets)) + octets)
+    def message(self, to: int, octets: bytes) -> None:
+        self._parts.append(struct.pack("<BHH", 40, to, len(octets)) + octets)
 
     def bug(self, message: str) -> None:
         text = message.encode()[:2000]
--- a/opalwick/drill/host.py
+++ b/opalwick/drill/host.py
@@ -8,13 +8,28 @@
 from opalwick.balance import Balancer
 from opalwick.drill.codec import BadFrame, Reply, records
 from opalwick.interface import (Cancel, Category, Customer, Decision, Defer, Effect, Group, HandOff, ListForm,
-                                Outcome, Phase, Report, Send, Subscribe, Tell, Terms, Wake, Worker, WorkItem,
-                                WriteOff)
+                                Outcome, Phase, Report, Send, Subscribe, Sum, Tell, Terms, Wake, Worker,
+                                WorkItem, WriteOff)
 
 _EFFECTS = {"repeatable": Effect.RERUNNABLE, "by_key": Effect.TICKETED, "once": Effect.EXCLUSIVE}
 _REPORT = {"active": Report.HELD, "waiting": Report.WAITING}
 _MICRO = 1e-6
-_ROW = struct.Struct("<IBH")  # what schedulers tell each other: worker, half slots, hundredths of a second
+# what schedulers tell each other: kind, zone, mark and, in sums, how many were heard; then a row a worker:
+# the low and high half of its id folded, half slots, and seconds to run on a scale of even ratios
+_WORD, _SUM, _ROW = struct.Struct("<BBI"), struct.Struct("<BBIH"), struct.Struct("<HBB")
+
+
+def _short(wid: int) -> int:
+    return (wid ^ wid >> 16) & 0xFFFF
+
+
+def _rows(rows: list[tuple[Worker, float, float]], room: int) -> bytes:
+    rows = sorted(rows, key=lambda row: -row[2])[:room // _ROW.size] if len(rows) > 60 else rows
+    return b"".join([_ROW.pack(_short(w.id), min(255, round(slots * 2)),
+                               min(255, round(20.0 * math.log1p(20.0 * left)))) for w, slots, left in rows])
+
+
+_SECONDS = [math.expm1(step / 20.0) / 20.0 for step in range(256)]
 
 
 class BadStart(Exception):
@@ -92,7 +107,8 @@
                      if values.flag("ceilings.retry-after") else 0.0),
         by_work=values.choice("credit-basis", {"work": True, "request": False}),
         excess_credit=values.number("excess-credit", 1.0),
-        price_cross=values.number("prices.cross-zone", 0.0),
+        price_cross=values.number("prices.cross-zone", 0.0), price_tell=values.number("prices.peer", 0.0),
+        position=int(values.number("position", 0.0)),
         must_ask=values.choice("discovery", {"ask": True, "push": False}),
         ask_every=values.seconds("guarantees.ask-every-us", 10.0),
         fall_multiple=values.number("guarantees.fall-multiple"),
@@ -111,6 +127,7 @@
         self.balancer = Balancer(self.terms, seed, clock * _MICRO)
         self.items: dict[int, WorkItem] = {}
         self.workers: dict[int, Worker] = {}
+        self.shorts: dict[int, Worker | None] = {}  # by folded id; None: two workers share it
 
     def _hand_off(self, corr: int, copy: int) -> HandOff | None:
         wi = self.items.get(corr)
@@ -130,6 +147,7 @@
             worker = self.workers.get(wid)
             if worker is None:
                 worker = self.workers[wid] = Worker(wid)
+                self.shorts[_short(wid)] = None if _short(wid) in self.shorts else worker
             rows.append((worker, zone, kind, cell, Phase(phase), ready_at * _MICRO))
         self.balancer.listed(ListForm(form), rows)
 
@@ -179,11 +197,18 @@
         self._report(wid, metrics)
 
     def neighbour_says(self, clock: int, who: int, octets: bytes) -> None:
-        if len(octets) % _ROW.size:
+        head = {0: _WORD, 1: _SUM}.get(octets[0]) if octets else None
+        if head is None or len(octets) < head.size or (len(octets) - head.size) % _ROW.size:
             return                              # not one of ours: passed over
-        rows = [(self.workers[wid], slots * 0.5, left * 0.01) for wid, slots, left in _ROW.iter_unpack(octets)
-                if wid in self.workers]
-        self.balancer.told(who, rows)
+        _, *fields = head.unpack_from(octets)
+        rows = [(w, slots * 0.5, _SECONDS[left]) for short, slots, left in _ROW.iter_unpack(octets[head.size:])
+                if (w := self.shorts.get(short)) is not None]
+        if head is _WORD:
+            mark, zone = fields[1], fields[0]
+            self.balancer.told(who, mark, zone, rows)
+        else:
+            zone, mark, heard = fields
+            self.balancer.summed(who, mark, zone, heard, rows)
 
     def wake(self, clock: int, key: int) -> None:
         """Setting the clock was all that was needed."""
@@ -211,11 +236,10 @@
                 reply.add("defer", max(clock + 1, math.ceil(at / _MICRO)), 0)
             case Subscribe():
                 reply.add("tail", 1)
-            case Tell(rows):
-                heaviest = sorted(rows, key=lambda row: -row[2])[:256 // _ROW.size]
-                reply.broadcast(b"".join(
-                    _ROW.pack(w.id, min(255, round(slots * 2)), min(65535, round(left * 100)))
-                    for w, slots, left in heaviest))
+            case Tell(to, mark, zone, rows):
+                reply.message(to, _WORD.pack(0, zone, mark) + _rows(rows, 250))
+            case Sum(to, mark, zone, heard, rows):
+                reply.message(to, _SUM.pack(1, zone, mark, heard) + _rows(rows, 248))
 
 
 class Host:
--- a/opalwick/interface.py
+++ b/opalwick/interface.py
@@ -91,6 +91,8 @@
     by_work: bool             # credit counts for each unit of work
     excess_credit: float
     price_cross: float
+    price_tell: float         # for 256 bytes that reach a scheduler, per work item
+    position: int             # of this scheduler among them
     must_ask: bool
     ask_every: float
     fall_multiple: float
@@ -136,10 +138,29 @@
     pace: float = 1.0          # seconds it needs for a second of work
     busy_own: float = 0.0      # slots taken or waited for by own work items
     left_own: float = 0.0      # seconds of slot time that those still have to run
+    told_busy: float = 0.0     # the same of the other schedulers, as a keeper said
+    told_left: float = 0.0
+    kept_busy: float = 0.0     # as its keeper: the sums of all that told
+    kept_left: float = 0.0
     busy: float = 0.0          # slots taken or waited for, by all
     residual: float = 0.0      # seconds that a work item there has still to run, in the mean
 
 
+@dataclass(slots=True, eq=False)
+class Zone:
+    """Of the workers; one scheduler keeps the sums of what all have in flight there."""
+    id: int
+    tell_at: float
+    told_any: bool = False
+    unanswered: int = 0        # words in a row
+    tries: int = 0             # keepers passed over
+    home_at: float = 0.0       # when the first keeper is tried again
+    answered: int = 0          # mark of the words answered last
+    heard_at: float = -1e9
+    heard: float = 0.0         # the share of the schedulers that its keeper has heard
+    kept: int = 0              # as its keeper: how many schedulers' words are held
+
+
 @dataclass(slots=True, eq=False)
 class WorkItem:
     id: int
@@ -204,7 +225,19 @@
 
 
 class Tell(NamedTuple):
-    """To the other schedulers: worker, slots in flight there, seconds of slot time still to run."""
+    """To a zone's keeper: worker, slots in flight there, seconds of slot time still to run."""
+    to: int
+    mark: int
+    zone: int
+    rows: list[tuple[Worker, float, float]]
+
+
+class Sum(NamedTuple):
+    """A keeper's answer to the words with this mark: what the others it has heard have in flight."""
+    to: int
+    mark: int
+    zone: int
+    heard: int
     rows: list[tuple[Worker, float, float]]
 
 
@@ -212,4 +245,4 @@
     at: float
 
 
-Decision = Union[Send, Cancel, Defer, WriteOff, Subscribe, Tell, Wake]
+Decision = Union[Send, Cancel, Defer, WriteOff, Subscribe, Tell, Sum, Wake]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -111,7 +111,7 @@
     before = dict(bench.balancer.sizes)
     for figure in (float("nan"), float("inf"), -3.0, 1e30):
         bench.balancer.reported(bench.workers["A"], (figure, figure, figure))
-    bench.balancer.told(9, [])
+    bench.balancer.told(9, 5, 3, [])
     bench.take("x")
     bench.pull(f"sizes unchanged {before == bench.balancer.sizes}")
     bench.balancer.progressed(bench.items["x"].hand_offs[0], float("nan"))
