--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -80,7 +80,8 @@
             w.zone, w.kind, w.cell, w.phase, w.ready_at = zone, kind, cell, phase, ready_at
             self.listed_all[w] = None
             if zone not in self.zones:
-                self.zones[zone] = Zone(zone, self.now + self.chance.draw() * self.TELL)
+                # they do not all tell at the same moment
+                self.zones[zone] = Zone(zone, self.now + self.TELL * self.terms.position / self.terms.schedulers)
         self.workers = [w for w in self.listed_all if w.phase is Phase.READY]
 
     def taken(self, wi: WorkItem) -> None:
@@ -577,7 +578,7 @@
         """
         slots = self.slots(w)
         crowd = min(1.0, max(0.0, (w.busy + more - slots) / slots))
-        return prospect * wi.worth / self.value - 0.05 - crowd * wi.work / self.work
+        return (prospect - 0.05) * wi.worth / self.value - crowd * wi.work / self.work
 
     def choose(self, wi: WorkItem) -> Worker | None:
         """The design's random draw, over the workers that promise about as much as the best one."""
