--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -18,6 +18,7 @@
 
 import heapq
 import math
+from bisect import bisect
 from collections import deque
 from collections.abc import Iterator, Sequence
 
@@ -83,6 +84,8 @@
                 # they do not all tell at the same moment
                 self.zones[zone] = Zone(zone, self.now + self.TELL * self.terms.position / self.terms.schedulers)
         self.workers = [w for w in self.listed_all if w.phase is Phase.READY]
+        self.ring = sorted(self.workers, key=self.spot)
+        self.spots = [self.spot(w) for w in self.ring]
 
     def taken(self, wi: WorkItem) -> None:
         c = wi.category
@@ -621,7 +624,10 @@
         if len(self.workers) <= 16:
             return self.workers
         if subject:
-            return heapq.nlargest(16, self.workers, key=lambda w: self.rank(subject, w))
+            # 6: from the subject's place on a ring, the same at every scheduler; ranking the whole fleet for
+            # each work item cut days off at full size
+            at = bisect(self.spots, Chance(subject * self.MIX).mixed())
+            return (self.ring[at:at + 16] + self.ring)[:16] if at + 16 > len(self.ring) else self.ring[at:at + 16]
         drawn: dict[Worker, None] = {}
         for _ in range(32):                     # some draw one again, or a cold one that counts by its age
             w = self.workers[int(self.chance.draw() * len(self.workers))]
@@ -631,11 +637,14 @@
                 break
         return list(drawn)
 
+    MIX = 0x9E3779B97F4A7C15                    # an odd constant, to mix; as the one in rank
+
+    def spot(self, w: Worker) -> float:
+        return Chance(w.id * self.MIX).mixed()
+
     def rank(self, subject: int, w: Worker) -> float:
         """6: the same figure at every scheduler; a fresh worker gets its part by age."""
-        mixed = Chance(subject * 0x9E3779B97F4A7C15 ^ w.id * 0xC2B2AE3D27D4EB4F)  # two odd constants, to mix
-        mixed.draw()
-        return mixed.draw() * self.warmth(w)
+        return Chance(subject * self.MIX ^ w.id * 0xC2B2AE3D27D4EB4F).mixed() * self.warmth(w)
 
     def hand(self, wi: WorkItem, w: Worker, copy: bool) -> Send:
         self.look(w)
