--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -18,7 +18,6 @@
 
 import heapq
 import math
-from bisect import bisect
 from collections import deque
 from collections.abc import Iterator, Sequence
 
@@ -85,7 +84,6 @@
                 self.zones[zone] = Zone(zone, self.now + self.TELL * self.terms.position / self.terms.schedulers)
         self.workers = [w for w in self.listed_all if w.phase is Phase.READY]
         self.ring = sorted(self.workers, key=self.spot)
-        self.spots = [self.spot(w) for w in self.ring]
 
     def taken(self, wi: WorkItem) -> None:
         c = wi.category
@@ -626,7 +624,7 @@
         if subject:
             # 6: from the subject's place on a ring, the same at every scheduler; ranking the whole fleet for
             # each work item cut days off at full size
-            at = bisect(self.spots, Chance(subject * self.MIX).mixed())
+            at = int(Chance(subject * self.MIX).mixed() * len(self.ring))   # by order: all are met alike
             return (self.ring[at:at + 16] + self.ring)[:16] if at + 16 > len(self.ring) else self.ring[at:at + 16]
         drawn: dict[Worker, None] = {}
         for _ in range(32):                     # some draw one again, or a cold one that counts by its age
