--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -602,7 +602,7 @@
         if not found:
             return None
         # about equal: a twentieth; with a subject three tenths, as the time to fetch it is not in the guess
-        margin = 0.3 if wi.subject else 0.05
+        margin = 0.15 if wi.subject else 0.05
         near = [w for gain, w in found if gain >= best - margin * wi.worth / self.value]
         # the skip margin: one item over one and a half times the recent mean, so that small means still skip
         calm = [w for w in near if self.held(w) <= 1.5 * w.mean + 1.0] or near
