--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -561,7 +561,10 @@
                 # the next slot, or half as long again as so far
                 wait = max(w.residual / self.slots(w), ho.wait - out, 0.5 * out)
             else:
-                wait = max(0.0, min(self.wait_at(wi, w), ho.wait - out))
+                # where no note tells, it is taken to have begun when it should have: to count its whole run
+                # from now gave up, at full size, what was about to finish
+                wait, spent = max(0.0, min(self.wait_at(wi, w), ho.wait - out)), max(0.0, out - ho.wait)
+                run = max(run - spent, 0.3 * spent)
         else:
             wait = self.wait_at(wi, w)
         spare = wi.due_at - self.now - wait - run
