--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -582,7 +582,8 @@
         """
         slots = self.slots(w)
         crowd = min(1.0, max(0.0, (w.busy + more - slots) / slots))
-        return (prospect - 0.05) * wi.worth / self.value - crowd * wi.work / self.work
+        return prospect * wi.worth / self.value - 0.05 * min(1.0, wi.work / self.work) \
+            - crowd * wi.work / self.work
 
     def choose(self, wi: WorkItem) -> Worker | None:
         """The design's random draw, over the workers that promise about as much as the best one."""
