--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -512,8 +512,8 @@
                 return
         # it has half its own time of grace, for the place it waited for; but one that is late and still earns
         # a little has none: such items kept a burst's queue standing long after the burst
-        grace = 0.5 * wi.work / self.work if best >= 0.5 or not wi.category.tardy_credit else 0.0
-        if all(self.gain(wi, ho.worker, best, wi.slots if grace else 0.0) + grace < 0.0 for ho in live):
+        grace = 0.25 * wi.work / self.work if best >= 0.5 or not wi.category.tardy_credit else 0.0
+        if all(self.gain(wi, ho.worker, best, 0.0) + grace < 0.0 for ho in live):
             yield from self.answer(wi)
             return
         self.at(self.now + 0.1 + 0.25 * abs(wi.due_at - self.now), wi)
