--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -23,8 +23,9 @@
 
 from opalwick.chance import Chance
 from opalwick.interface import (NEVER_RAN, Block, Cancel, Customer, Decision, Defer, Effect, Group,
-                                HandOff, ListForm, Outcome, Phase, Report, Send, Subscribe, Sum, Tell, Terms,
-                                Wake, Worker, WorkItem, WriteOff, Zone)
+                                HandOff, ListForm, Outcome, Phase, Report, Row, Send, Subscribe, Sum, Tell,
+                                Terms, Wake, Worker, WorkItem, WriteOff, Zone)
+from opalwick.sums import Sums
 
 
 class Balancer:
@@ -45,9 +46,7 @@
         self.noise = 0.5                        # mean square of a guessed run's log error; rough at first
         self.active: dict[Worker, None] = {}    # workers that hold work of ours
         self.zones: dict[int, Zone] = {}        # of the workers, each with a scheduler that keeps its sums
-        # as a keeper: what each scheduler said of a zone, the oldest words first, and who is to be answered
-        self.words: dict[tuple[int, int], tuple[int, float, Sequence[tuple]]] = {}
-        self.askers: deque[tuple[int, int]] = deque()
+        self.sums = Sums()                      # as a keeper
         self.tells = terms.may_tell and terms.schedulers > 1
         self.others = 0.0                       # mean of others' work items over the workers
         self.early = max(0.01, 2.0 * terms.tick)  # answers go out this long before the expiry: a few ticks
@@ -185,23 +184,11 @@
             self.seen_others(w, w.others + (max(0.0, total - own) - w.others) * 0.5)
             self.others += (w.others - self.others) * 0.05  # over about as many reports as there are workers
 
-    def told(self, peer: int, mark: int, zone: int, rows: Sequence[tuple[Worker, float, float]]) -> None:
-        """As a keeper: what a scheduler has in flight in a zone: worker, slots, seconds of slot time to run."""
-        key = peer, zone
-        if zone not in self.zones:
-            return
-        if key in self.words and 0 < (self.words[key][0] - mark) & 0xFFFFFFFF < 0x80000000:
-            return                              # older than what is known: it came late
-        self.unsay(key)
-        self.words[key] = mark, self.now, rows
-        self.zones[zone].kept += 1
-        for w, slots, left in rows:
-            w.kept_busy += slots
-            w.kept_left += left
-        self.askers.append(key)
+    def told(self, peer: int, mark: int, zone: int, rows: Sequence[Row]) -> None:
+        """As a keeper: what a scheduler has in flight in a zone."""
+        self.sums.told(self.now, peer, mark, zone, rows)
 
-    def summed(self, peer: int, mark: int, zone: int, heard: int, rows: Sequence[tuple[Worker, float, float]]
-               ) -> None:
+    def summed(self, mark: int, zone: int, heard: int, rows: Sequence[Row]) -> None:
         """A keeper's answer: what all others that it has heard of have in flight in a zone."""
         z = self.zones.get(zone)
         if z is None or not 0 <= (mark - z.answered) & 0xFFFFFFFF < 0x80000000:
@@ -216,17 +203,7 @@
     # seconds: a connection opened over the slowest trips between zones, the work sent, the note come back
     NOTE_IN = 0.1
 
-    TELL = 0.1  # seconds between words at the most: shorter than most work items run
-    # bytes: of a word with a few rows and of a row, for the price of words
-    WORD, ROW = 16, 4
-
-    def unsay(self, key: tuple[int, int]) -> None:
-        if key not in self.words:
-            return
-        self.zones[key[1]].kept -= 1
-        for w, slots, left in self.words.pop(key)[2]:
-            w.kept_busy -= slots
-            w.kept_left -= left
+    TELL = 0.1  # seconds between words at the least: shorter than most work items run
 
     @staticmethod
     def held(w: Worker) -> int:
@@ -417,67 +394,51 @@
         wake = self.due[0][0] if self.due else math.inf
         if not self.subscribed:
             wake = min(wake, max(self.ask_at, self.now + 0.05))
-        if self.tells and (self.active or self.rate_now() > 0.05 or any(z.told_any for z in self.zones.values())):
+        if self.tells and (self.active or self.now - self.taken_at < 10.0):
             wake = min(wake, min((z.tell_at for z in self.zones.values()), default=wake))
         if wake < math.inf and (self.woken <= self.now or wake < self.woken):
             self.woken = max(wake, self.now)
             yield Wake(self.woken)
 
-    def rate_now(self) -> float:
-        return self.rate * math.exp((self.taken_at - self.now) / 5.0)
-
     def exchange(self) -> Iterator[Decision]:
         """1: words to the keeper of each zone, and as a keeper the sums in answer.
 
         A word to all grows with the square of the schedulers; to one keeper and back, a work item causes as
         much whatever their number. A keeper that does not answer is passed over for the next in number.
         """
-        t = self.terms
+        t, rate = self.terms, self.rate * math.exp((self.taken_at - self.now) / 5.0)
         for z in self.zones.values():
             if self.now < z.tell_at:
                 continue
             self.active = {w: None for w in self.active if self.held(w)}
-            rows = [w for w in self.active if w.zone == z.id]
-            size = self.ROW * sum(1 for w in self.workers if w.zone == z.id) + self.WORD
-            rate = self.rate_now()
-            # half a point of price for each work item; a scheduler's own zone is what it mostly asks about
-            often = rate * 0.005 * 256 / (t.price_tell * size) if t.price_tell else 1e9
-            if z.id != t.zone and not rows:
-                often *= 0.2
+            here = [w for w in self.active if w.zone == z.id]
+            # half a point of price for each work item, at four bytes a row and sixteen for the rest; of other
+            # zones a fifth as often, unless work is out there
+            price = t.price_tell * (4 * sum(w.zone == z.id for w in self.workers) + 16) / 256
+            often = rate * 0.005 / max(price, 1e-9) * (1.0 if here or z.id == t.zone else 0.2)
             z.tell_at = self.now + min(1.0, max(self.TELL, 1.0 / max(often, 1e-9)))
-            if not rows and not z.told_any and rate <= 0.05:
+            if not here and not z.told_any and rate <= 0.05:
                 continue
-            z.told_any = bool(rows)
+            z.told_any = bool(here)
             if z.unanswered >= 2:               # two in a row lost: it is gone or cut off
                 z.tries, z.unanswered, z.home_at = z.tries + 1, 0, self.now + 5.0
             elif z.tries and self.now >= z.home_at:
                 z.tries = z.unanswered = 0
-            for w in rows:
-                self.look(w)
             z.unanswered += 1
-            keeper, mark = (z.id + z.tries) % t.schedulers, int(self.now * 1000) & 0xFFFFFFFF
-            said = [(w, w.busy_own, w.left_own) for w in rows]
-            if keeper == t.position:
-                self.told(keeper, mark, z.id, said)
+            for w in here:
+                self.look(w)
+            # the clock as the mark of words: those of a scheduler that has restarted count as newer
+            word = Tell((z.id + z.tries) % t.schedulers, int(self.now * 1000) & 0xFFFFFFFF, z.id,
+                        [(w, w.busy_own, w.left_own) for w in here])
+            if word.to == t.position:
+                self.told(*word)
             else:
-                yield Tell(keeper, mark, z.id, said)
-        while self.askers:
-            key = self.askers.popleft()
-            while self.words and self.now - next(iter(self.words.values()))[1] > 2.0:
-                self.unsay(next(iter(self.words)))
-            if key not in self.words:
-                continue
-            mark, _, rows = self.words[key]
-            own = {w: (slots, left) for w, slots, left in rows}
-            sums = []
-            for w in self.workers:
-                if w.zone == key[1]:
-                    slots, left = own.get(w, (0.0, 0.0))
-                    sums.append((w, max(0.0, w.kept_busy - slots), max(0.0, w.kept_left - left)))
-            if key[0] == t.position:
-                self.summed(key[0], mark, key[1], self.zones[key[1]].kept, sums)
+                yield word
+        for to, *words in self.sums.answers(self.now, self.workers):
+            if to == t.position:
+                self.summed(*words)
             else:
-                yield Sum(key[0], mark, key[1], self.zones[key[1]].kept, sums)
+                yield Sum(to, *words)
 
     def fall_due(self, wi: WorkItem) -> Iterator[Decision]:
         """4, 5: a look at a work item that should have begun, be due or is about to expire."""
--- a/opalwick/drill/host.py
+++ b/opalwick/drill/host.py
@@ -208,7 +208,7 @@
             self.balancer.told(who, mark, zone, rows)
         else:
             zone, mark, heard = fields
-            self.balancer.summed(who, mark, zone, heard, rows)
+            self.balancer.summed(mark, zone, heard, rows)
 
     def wake(self, clock: int, key: int) -> None:
         """Setting the clock was all that was needed."""
--- a/opalwick/interface.py
+++ b/opalwick/interface.py
@@ -140,8 +140,6 @@
     left_own: float = 0.0      # seconds of slot time that those still have to run
     told_busy: float = 0.0     # the same of the other schedulers, as a keeper said
     told_left: float = 0.0
-    kept_busy: float = 0.0     # as its keeper: the sums of all that told
-    kept_left: float = 0.0
     busy: float = 0.0          # slots taken or waited for, by all
     residual: float = 0.0      # seconds that a work item there has still to run, in the mean
 
@@ -158,7 +156,6 @@
     answered: int = 0          # mark of the words answered last
     heard_at: float = -1e9
     heard: float = 0.0         # the share of the schedulers that its keeper has heard
-    kept: int = 0              # as its keeper: how many schedulers' words are held
 
 
 @dataclass(slots=True, eq=False)
@@ -201,6 +198,9 @@
     workers: list[Worker]
 
 
+Row = tuple[Worker, float, float]   # slots in flight at a worker, seconds of slot time still to run
+
+
 # decisions
 class Send(NamedTuple):
     ho: HandOff
@@ -225,11 +225,11 @@
 
 
 class Tell(NamedTuple):
-    """To a zone's keeper: worker, slots in flight there, seconds of slot time still to run."""
+    """To a zone's keeper: what this scheduler has in flight there."""
     to: int
     mark: int
     zone: int
-    rows: list[tuple[Worker, float, float]]
+    rows: list[Row]
 
 
 class Sum(NamedTuple):
@@ -238,7 +238,7 @@
     mark: int
     zone: int
     heard: int
-    rows: list[tuple[Worker, float, float]]
+    rows: list[Row]
 
 
 class Wake(NamedTuple):
--- /dev/null
+++ b/opalwick/sums.py
@@ -0,0 +1,53 @@
+"""Bookkeeping of a keeper: what all schedulers said that they have in flight in a zone, and the sums of it."""
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator, Sequence
+
+from opalwick.interface import Row, Worker
+
+
+class Sums:
+    def __init__(self) -> None:
+        self.words: dict[tuple[int, int], tuple[int, float, Sequence[Row]]] = {}    # the oldest first
+        self.askers: dict[tuple[int, int], None] = {}
+        self.totals: dict[Worker, tuple[float, float]] = {}
+        self.heard: dict[int, int] = {}         # zone: schedulers whose words are held
+
+    def told(self, now: float, peer: int, mark: int, zone: int, rows: Sequence[Row]) -> None:
+        key = peer, zone
+        if key in self.words and 0 < (self.words[key][0] - mark) & 0xFFFFFFFF < 0x80000000:
+            return                              # older than what is known: it came late
+        self._drop(key)
+        self.words[key] = mark, now, rows
+        self.askers[key] = None
+        self._add(zone, rows, 1)
+
+    def answers(self, now: float, workers: Sequence[Worker]) -> Iterator[tuple[int, int, int, int, list[Row]]]:
+        """For each scheduler that asked: its number, mark, zone, how many were heard, and what the others hold."""
+        # words of two seconds ago come from a scheduler that is gone or cut off
+        while self.words and now - next(iter(self.words.values()))[1] > 2.0:
+            self._drop(next(iter(self.words)))
+        while self.askers:
+            key = next(iter(self.askers))
+            del self.askers[key]
+            if key in self.words:
+                mark, _, rows = self.words[key]
+                own = {w: (slots, left) for w, slots, left in rows}
+                others = []
+                for w in workers:
+                    if w.zone == key[1]:
+                        slots, left = self.totals.get(w, (0.0, 0.0))
+                        less_slots, less_left = own.get(w, (0.0, 0.0))
+                        others.append((w, max(0.0, slots - less_slots), max(0.0, left - less_left)))
+                yield key[0], mark, key[1], self.heard[key[1]], others
+
+    def _drop(self, key: tuple[int, int]) -> None:
+        if key in self.words:
+            self._add(key[1], self.words.pop(key)[2], -1)
+
+    def _add(self, zone: int, rows: Sequence[Row], sign: int) -> None:
+        self.heard[zone] = self.heard.get(zone, 0) + sign
+        for w, slots, left in rows:
+            all_slots, all_left = self.totals.get(w, (0.0, 0.0))
+            self.totals[w] = all_slots + sign * slots, all_left + sign * left
