--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -37,8 +37,7 @@
         self.freed: deque[HandOff] = deque()    # whose worker may take a copy
         self.undo: deque[HandOff] = deque()
         self.due: list[tuple[float, int, WorkItem]] = []
-        self.serial = 0
-        self.woken = -1.0                       # when the next wake is due, as far as asked for
+        self.serial, self.woken = 0, -1.0       # woken: when the next wake is due, as far as asked for
         self.firsts = self.copies = 0
         self.rate, self.taken_at = 0.0, now
         self.kinds: dict[int, list[float]] = {}  # kind: seconds run, seconds of work asked for
@@ -79,10 +78,10 @@
             w.zone, w.kind, w.cell, w.phase, w.ready_at = zone, kind, cell, phase, ready_at
             self.listed_all[w] = None
             if zone not in self.zones:
-                # they do not all tell at the same moment
-                self.zones[zone] = Zone(zone, self.now + self.TELL * self.terms.position / self.terms.schedulers)
+                late = self.terms.position / self.terms.schedulers  # they do not all tell at the same moment
+                self.zones[zone] = Zone(zone, self.now + self.TELL * late)
         self.workers = [w for w in self.listed_all if w.phase is Phase.READY]
-        self.ring = sorted(self.workers, key=self.spot)
+        self.ring = sorted(self.workers, key=lambda w: self.rank(0, w))
 
     def taken(self, wi: WorkItem) -> None:
         c = wi.category
@@ -161,27 +160,21 @@
             ho.run = max(spent / share, spent)
 
     def reported(self, w: Worker, figures: Sequence[float]) -> None:
-        free = held = waiting = -1.0
-        for name, x in zip(self.terms.report, figures):
-            if not 0 <= x < 1e5:                # nonsense, not a number included
-                continue
-            if name == Report.FREE_SLOTS:
-                free = x
-            elif name == Report.HELD:
-                held = x
-            elif name == Report.WAITING:
-                waiting = x
+        # nonsense is passed over, not a number included
+        seen = {name: x for name, x in zip(self.terms.report, figures) if 0 <= x < 1e5}
+        free, held = seen.get(Report.FREE_SLOTS, -1.0), seen.get(Report.HELD, -1.0)
         if free >= 0:                           # one kind, one size: the most that any showed, less noise
             size = self.sizes.setdefault(w.kind, [1.0, 0])
             size[0] = max(size[0], float(int(0.9 * free + 0.5)))
             size[1] += 1
-        total = held if held >= 0 else (self.slots(w) - free + max(waiting, 0.0) if free >= 0 else -1.0)
-        if total >= 0:
+        if held < 0 and free >= 0:
+            held = self.slots(w) - free + seen.get(Report.WAITING, 0.0)
+        if held >= 0:
             # half old, half new: reports are late and noisy
             # 0.7 s: about the age of a report. What was out longer than that is in it, which at a seldom used
             # worker the recent mean does not show: unguarded, each answer told of its own item as another's
             own = max(w.mean, sum(1 for ho in w.flights if ho.sent_at < self.now - 0.7))
-            self.seen_others(w, w.others + (max(0.0, total - own) - w.others) * 0.5)
+            self.seen_others(w, w.others + (max(0.0, held - own) - w.others) * 0.5)
             self.others += (w.others - self.others) * 0.05  # over about as many reports as there are workers
 
     def told(self, peer: int, mark: int, zone: int, rows: Sequence[Row]) -> None:
@@ -330,27 +323,23 @@
     def may(self, wi: WorkItem, w: Worker) -> bool:
         """Whether this work item may be handed to this worker now, under the four rules."""
         t, c = self.terms, wi.category
-        if wi.answered or self.now >= wi.expiry_at or w.phase is not Phase.READY:
-            return False
-        if len(wi.hand_offs) >= t.hand_offs:
+        if (wi.answered or self.now >= wi.expiry_at or w.phase is not Phase.READY
+                or len(wi.hand_offs) >= t.hand_offs):
             return False
         for ho in wi.hand_offs:
             if not ho.ended and (ho.worker is w or not t.may_copy):
                 return False
             if ho.outcome in NEVER_RAN or c.effect is Effect.RERUNNABLE:
                 continue
-            if c.effect is Effect.EXCLUSIVE or not self.same_group(c.group, ho.worker, w):
+            same = (c.group is Group.ALL or c.group is Group.ZONE and ho.worker.zone == w.zone
+                    or c.group is Group.CELL and ho.worker.cell == w.cell)
+            if c.effect is Effect.EXCLUSIVE or not same:
                 return False
             # 0.5 s for the trip and the queue; a process younger than that send may not know the mark
             if self.now + 0.5 > ho.sent_at + c.window or w.ready_at > ho.sent_at:
                 return False
         return not self.young(w) or self.within_budget(wi, w)
 
-    @staticmethod
-    def same_group(group: Group, a: Worker, b: Worker) -> bool:
-        return (group is Group.ALL or group is Group.ZONE and a.zone == b.zone
-                or group is Group.CELL and a.cell == b.cell)
-
     def within_budget(self, wi: WorkItem, w: Worker) -> bool:
         """3: this scheduler's part of what a cold worker bears in any span.
 
@@ -444,10 +433,10 @@
         """4, 5: a look at a work item that should have begun, be due or is about to expire."""
         if wi.answered:
             return
+        live = [ho for ho in wi.hand_offs if not ho.ended]
         if self.now >= wi.expiry_at - self.early - 1e-6:
             yield from self.answer(wi)
             return
-        live = [ho for ho in wi.hand_offs if not ho.ended]
         if not live:
             self.todo.append(wi)
             return
@@ -471,7 +460,7 @@
                 self.undo.extend(live)
                 yield self.hand(wi, w, False)
                 return
-        # it has half its own time of grace, for the place it waited for; but one that is late and still earns
+        # a quarter of its own time is its grace, for the place it waited for; but one that is late and still earns
         # a little has none: such items kept a burst's queue standing long after the burst
         grace = 0.25 * wi.work / self.work if best >= 0.5 or not wi.category.tardy_credit else 0.0
         if all(self.gain(wi, ho.worker, best, 0.0) + grace < 0.0 for ho in live):
@@ -543,8 +532,9 @@
         """
         slots = self.slots(w)
         crowd = min(1.0, max(0.0, (w.busy + more - slots) / slots))
-        return prospect * wi.worth / self.value - 0.05 * min(1.0, wi.work / self.work) \
-            - crowd * wi.work / self.work
+        work = wi.work / self.work
+        # the least gain: a twentieth of a mean item, less for a light one, which was never sent at size
+        return prospect * wi.worth / self.value - 0.05 * min(1.0, work) - crowd * work
 
     def choose(self, wi: WorkItem) -> Worker | None:
         """The design's random draw, over the workers that promise about as much as the best one."""
@@ -566,7 +556,7 @@
             best = max(best, gain)
         if not found:
             return None
-        # about equal: a twentieth; with a subject three tenths, as the time to fetch it is not in the guess
+        # about equal: a twentieth; with a subject thrice that, as the time to fetch it is not in the guess
         margin = 0.15 if wi.subject else 0.05
         near = [w for gain, w in found if gain >= best - margin * wi.worth / self.value]
         # the skip margin: one item over one and a half times the recent mean, so that small means still skip
@@ -587,10 +577,10 @@
         if len(self.workers) <= 16:
             return self.workers
         if subject:
-            # 6: from the subject's place on a ring, the same at every scheduler; ranking the whole fleet for
-            # each work item cut days off at full size
-            at = int(Chance(subject * self.MIX).mixed() * len(self.ring))   # by order: all are met alike
-            return (self.ring[at:at + 16] + self.ring)[:16] if at + 16 > len(self.ring) else self.ring[at:at + 16]
+            # 6: from the subject's place on a ring, the same at every scheduler, by order, so that all
+            # are met alike; ranking the whole fleet for each work item cut days off at full size
+            at = int(Chance(subject * self.MIX).mixed() * len(self.ring))
+            return (self.ring[at:] + self.ring[:at])[:16]
         drawn: dict[Worker, None] = {}
         for _ in range(32):                     # some draw one again, or a cold one that counts by its age
             w = self.workers[int(self.chance.draw() * len(self.workers))]
@@ -602,12 +592,10 @@
 
     MIX = 0x9E3779B97F4A7C15                    # an odd constant, to mix; as the one in rank
 
-    def spot(self, w: Worker) -> float:
-        return Chance(w.id * self.MIX).mixed()
-
     def rank(self, subject: int, w: Worker) -> float:
         """6: the same figure at every scheduler; a fresh worker gets its part by age."""
-        return Chance(subject * self.MIX ^ w.id * 0xC2B2AE3D27D4EB4F).mixed() * self.warmth(w)
+        warmth = self.warmth(w) if subject else 1.0
+        return Chance(subject * self.MIX ^ w.id * 0xC2B2AE3D27D4EB4F).mixed() * warmth
 
     def hand(self, wi: WorkItem, w: Worker, copy: bool) -> Send:
         self.look(w)
--- a/opalwick/sums.py
+++ b/opalwick/sums.py
@@ -1,4 +1,4 @@
-"""Bookkeeping of a keeper: what all schedulers said that they have in flight in a zone, and the sums of it."""
+"""Bookkeeping of a keeper: what all schedulers said they have in flight in a zone, and the sums of it."""
 from __future__ import annotations
 
 from collections import deque
@@ -23,8 +23,8 @@
         self.askers[key] = None
         self._add(zone, rows, 1)
 
-    def answers(self, now: float, workers: Sequence[Worker]) -> Iterator[tuple[int, int, int, int, list[Row]]]:
-        """For each scheduler that asked: its number, mark, zone, how many were heard, and what the others hold."""
+    def answers(self, now: float, workers: Sequence[Worker]) -> Iterator[tuple]:
+        """For each scheduler that asked: its number, mark, zone, how many were heard, what others hold."""
         # words of two seconds ago come from a scheduler that is gone or cut off
         while self.words and now - next(iter(self.words.values()))[1] > 2.0:
             self._drop(next(iter(self.words)))
