--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -42,7 +42,6 @@
         self.rate, self.taken_at = 0.0, now
         self.kinds: dict[int, list[float]] = {}  # kind: seconds run, seconds of work asked for
         self.sizes: dict[int, list] = {}        # kind: slots seen, reports
-        self.noise = 0.5                        # mean square of a guessed run's log error; rough at first
         self.active: dict[Worker, None] = {}    # workers that hold work of ours
         self.zones: dict[int, Zone] = {}        # of the workers, each with a scheduler that keeps its sums
         self.sums = Sums()                      # as a keeper
@@ -81,7 +80,7 @@
                 late = self.terms.position / self.terms.schedulers  # they do not all tell at the same moment
                 self.zones[zone] = Zone(zone, self.now + self.TELL * late)
         self.workers = [w for w in self.listed_all if w.phase is Phase.READY]
-        self.ring = sorted(self.workers, key=lambda w: self.rank(0, w))
+        self.ring = sorted(self.workers, key=lambda w: Chance(w.id * self.MIX).mixed())
 
     def taken(self, wi: WorkItem) -> None:
         c = wi.category
@@ -147,7 +146,7 @@
         w, ho.began_at = ho.worker, self.now
         self.sign(w)
         if self.now - ho.sent_at < self.NOTE_IN:    # a slot was free: others hold no more than the rest
-            self.seen_others(w, min(w.others, max(0.0, self.slots(w) - self.begun(w))))
+            self.seen_others(w, min(w.others, max(0.0, self.room(w))))
 
     def progressed(self, ho: HandOff, share: float) -> None:
         if not 0 < share <= 1:                  # an odd note is passed over
@@ -179,12 +178,13 @@
 
     def told(self, peer: int, mark: int, zone: int, rows: Sequence[Row]) -> None:
         """As a keeper: what a scheduler has in flight in a zone."""
-        self.sums.told(self.now, peer, mark, zone, rows)
+        if self.tells and zone in self.zones:   # else it is passed over: an answer may be forbidden
+            self.sums.told(self.now, peer, mark, zone, rows)
 
     def summed(self, mark: int, zone: int, heard: int, rows: Sequence[Row]) -> None:
         """A keeper's answer: what all others that it has heard of have in flight in a zone."""
         z = self.zones.get(zone)
-        if z is None or not 0 <= (mark - z.answered) & 0xFFFFFFFF < 0x80000000:
+        if z is None or (mark - z.answered) & 0xFFFFFFFF >= 0x80000000:
             return                              # of words before those answered last
         z.answered, z.heard_at, z.unanswered = mark, self.now, 0
         z.heard = min(1.0, heard / self.terms.schedulers)
@@ -197,13 +197,15 @@
     NOTE_IN = 0.1
 
     TELL = 0.1  # seconds between words at the least: shorter than most work items run
+    MIX = 0x9E3779B97F4A7C15  # an odd constant, to mix; as the one in rank
 
     @staticmethod
     def held(w: Worker) -> int:
         return len(w.flights) + len(w.lingering)
 
-    def begun(self, w: Worker) -> int:
-        return sum(1 for ho in w.flights if ho.began_at) + len(w.lingering)
+    def room(self, w: Worker) -> float:
+        """Slots that own work is not known to hold."""
+        return self.slots(w) - sum(1 for ho in w.flights if ho.began_at) - len(w.lingering)
 
     def over_share(self, customer: Customer) -> bool:
         """5: a scheduler sees but its part of the traffic, so a customer's share is taken of that part."""
@@ -240,12 +242,9 @@
             w.limit = max(1.0, w.limit * 0.5)
 
     def ran(self, wi: WorkItem, w: Worker, run: float) -> None:
-        c = wi.category
+        c, kind = wi.category, self.kinds.setdefault(w.kind, [0.0, 0.0])    # kind: about the last hundred
         work = wi.hint or c.run
         taken = min(run, 8.0 * work)            # one freak does not condemn a worker
-        self.noise += (min(math.log(run / (work * w.pace)) ** 2, 4.0) - self.noise) * 0.02
-        kind = self.kinds.setdefault(w.kind, [0.0, 0.0])
-        # kind: about the last hundred items
         fade = math.exp((w.ran_at - self.now) / 10.0)
         w.ran, w.asked, w.ran_at = w.ran * fade + taken, w.asked * fade + work, self.now
         kind[0], kind[1] = kind[0] * 0.99 + taken, kind[1] * 0.99 + work
@@ -265,8 +264,8 @@
     def warmth(self, w: Worker) -> float:
         """3: the share of its capacity that a worker is sure to have at its age."""
         t = self.terms
-        age = max(0.0, self.now - w.ready_at)
-        return min(1.0, t.cold_share + (1.0 - t.cold_share) * age / t.ramp) if t.ramp > 0 else 1.0
+        age = max(0.0, self.now - w.ready_at) / t.ramp if t.ramp > 0 else 1.0
+        return min(1.0, t.cold_share + (1.0 - t.cold_share) * age)
 
     def look(self, w: Worker) -> None:
         """1: pace, busy slots and backlog of a worker at this moment."""
@@ -292,8 +291,8 @@
                     if spent > ho.run:          # it is slower than thought, or the item is heavier
                         ran, asked = ran + spent, asked + ho.wi.work
                 backlog += left * ho.wi.slots
-        # speeds within a kind differ by about a fifth, a variance of 0.05: so many items outweigh the kind
-        weight = mean * max(1.0, self.noise / 0.05)
+        # speeds within a kind differ by a fifth, guessed runs by as much again or more: so many outweigh it
+        weight = 20.0 * mean
         prior = (weight + kind[0]) / (weight + kind[1]) if kind else 1.0
         w.pace = (weight * prior + ran) / (weight + asked)
         # reports older than a few of their periods say little
@@ -312,11 +311,9 @@
     def silent(self, w: Worker) -> bool:
         """1: a worker that gives no sign while its first hand-off should long have given one."""
         first = next((ho for ho in w.flights if not ho.copy), None)
-        if first is None:
-            return False
         # thrice the usual: a lone slow worker still gives notes; and never less than two progress notes
-        patience = max(3.0 * (first.wait + first.run), 2.2 * self.terms.progress_every, 0.5)
-        return self.now - max(w.sign_at, first.sent_at) > patience
+        return first is not None and self.now - max(w.sign_at, first.sent_at) > max(
+            3.0 * (first.wait + first.run), 2.2 * self.terms.progress_every, 0.5)
 
     # ---- the rules: every hand-off passes here
 
@@ -347,9 +344,8 @@
         """
         t = self.terms
         w.sends = [send for send in w.sends if self.now - send[0] < t.fall_span]
-        pace = max(w.pace, 0.2)
         # half of the part: hints are rough, and what it turns away counts too
-        budget = 0.5 * t.fall_multiple * self.warmth(w) * self.slots(w) / pace * t.fall_span
+        budget = 0.5 * t.fall_multiple * self.warmth(w) * self.slots(w) / max(w.pace, 0.2) * t.fall_span
         # sends of all schedulers that meet here in a span, were all as busy as this one, and two deviations
         meet = self.rate * t.schedulers * t.fall_span / len(self.workers)
         budget /= min(t.schedulers, 1.0 + meet + 2.0 * math.sqrt(meet))
@@ -366,8 +362,7 @@
         if not self.subscribed and not self.asked and self.now >= self.ask_at:
             self.asked = True
             yield Subscribe()
-        if self.tells:
-            yield from self.exchange()
+        yield from self.exchange()
         while self.due and self.due[0][0] <= self.now:
             yield from self.fall_due(heapq.heappop(self.due)[2])
         while self.todo or self.undo or self.freed:
@@ -397,7 +392,7 @@
         """
         t, rate = self.terms, self.rate * math.exp((self.taken_at - self.now) / 5.0)
         for z in self.zones.values():
-            if self.now < z.tell_at:
+            if self.now < z.tell_at or not self.tells:
                 continue
             self.active = {w: None for w in self.active if self.held(w)}
             here = [w for w in self.active if w.zone == z.id]
@@ -408,12 +403,11 @@
             z.tell_at = self.now + min(1.0, max(self.TELL, 1.0 / max(often, 1e-9)))
             if not here and not z.told_any and rate <= 0.05:
                 continue
-            z.told_any = bool(here)
             if z.unanswered >= 2:               # two in a row lost: it is gone or cut off
                 z.tries, z.unanswered, z.home_at = z.tries + 1, 0, self.now + 5.0
             elif z.tries and self.now >= z.home_at:
                 z.tries = z.unanswered = 0
-            z.unanswered += 1
+            z.told_any, z.unanswered = bool(here), z.unanswered + 1
             for w in here:
                 self.look(w)
             # the clock as the mark of words: those of a scheduler that has restarted count as newer
@@ -449,8 +443,7 @@
         for ho in live:
             if self.terms.tells_start and self.now - ho.sent_at >= self.NOTE_IN:
                 # 1: no note that it began: others hold every slot, whatever the last report said
-                w = ho.worker
-                self.seen_others(w, max(w.others, self.slots(w) - self.begun(w)))
+                self.seen_others(ho.worker, max(ho.worker.others, self.room(ho.worker)))
         best = max(self.prospect(wi, ho.worker, ho) for ho in live)
         if wi.category.effect is Effect.RERUNNABLE and len(wi.hand_offs) < self.terms.hand_offs:
             w = self.choose(wi)
@@ -460,7 +453,7 @@
                 self.undo.extend(live)
                 yield self.hand(wi, w, False)
                 return
-        # a quarter of its own time is its grace, for the place it waited for; but one that is late and still earns
+        # a quarter of its own time is its grace, for its place; one that is late and still earns
         # a little has none: such items kept a burst's queue standing long after the burst
         grace = 0.25 * wi.work / self.work if best >= 0.5 or not wi.category.tardy_credit else 0.0
         if all(self.gain(wi, ho.worker, best, 0.0) + grace < 0.0 for ho in live):
@@ -471,10 +464,7 @@
     def answer(self, wi: WorkItem) -> Iterator[Decision]:
         """5: the final answer of a work item given up: deferred where that is truthful, else written off."""
         self.left(wi)
-        if self.may_defer(wi):
-            yield Defer(wi, self.terms.retry_after)
-        else:
-            yield WriteOff(wi)
+        yield Defer(wi, self.terms.retry_after) if self.may_defer(wi) else WriteOff(wi)
 
     def place(self, wi: WorkItem) -> Iterator[Decision]:
         if wi.answered or any(not ho.ended for ho in wi.hand_offs):
@@ -502,9 +492,9 @@
         self.look(w)
         run = self.run_at(wi, w)
         if ho is not None:
-            if ho.worker.shun_until > self.now:
-                return 0.0
             out = self.now - ho.sent_at
+            if w.shun_until > self.now:
+                return 0.0
             if ho.began_at:
                 wait, run = 0.0, max(0.0, run - (self.now - ho.began_at))
             elif self.terms.tells_start and out >= self.NOTE_IN:
@@ -517,12 +507,10 @@
                 run = max(run - spent, 0.3 * spent)
         else:
             wait = self.wait_at(wi, w)
-        spare = wi.due_at - self.now - wait - run
         # spread of the guess: a third of what is guessed, and a trip
-        z = spare / (0.35 * (wait + run) + 0.02)
+        z = (wi.due_at - self.now - wait - run) / (0.35 * (wait + run) + 0.02)
         chance = 1.0 / (1.0 + math.exp(-max(-30.0, min(30.0, z))))
-        late = wi.category.tardy_credit
-        return chance + late * (1.0 - chance)
+        return chance + wi.category.tardy_credit * (1.0 - chance)
 
     def gain(self, wi: WorkItem, w: Worker, prospect: float, more: float) -> float:
         """5: credit to be expected, in mean work items, less what the item takes from those that wait there.
@@ -538,24 +526,19 @@
 
     def choose(self, wi: WorkItem) -> Worker | None:
         """The design's random draw, over the workers that promise about as much as the best one."""
-        found, best = [], -math.inf
+        found = []
         for w in self.some(wi.subject):
             held = self.held(w)
             if not w.limit:
                 w.limit = 4.0 * self.slots(w)   # a queue of a few times the slots; full answers cut it
-            if held >= w.limit or w.shun_until > self.now or w.doubt and held:
-                continue
-            if not self.may(wi, w):
+            if held >= w.limit or w.shun_until > self.now or w.doubt and held or not self.may(wi, w):
                 continue
             gain = self.gain(wi, w, self.prospect(wi, w), wi.slots)
-            if gain < 0.0:
-                continue
-            if w.zone != self.terms.zone:
-                gain -= self.terms.price_cross
-            found.append((gain, w))
-            best = max(best, gain)
+            if gain >= 0.0:
+                found.append((gain - (self.terms.price_cross if w.zone != self.terms.zone else 0.0), w))
         if not found:
             return None
+        best = max(gain for gain, _ in found)
         # about equal: a twentieth; with a subject thrice that, as the time to fetch it is not in the guess
         margin = 0.15 if wi.subject else 0.05
         near = [w for gain, w in found if gain >= best - margin * wi.worth / self.value]
@@ -584,18 +567,13 @@
         drawn: dict[Worker, None] = {}
         for _ in range(32):                     # some draw one again, or a cold one that counts by its age
             w = self.workers[int(self.chance.draw() * len(self.workers))]
-            if not self.young(w) or self.chance.draw() < self.warmth(w):
+            if len(drawn) < 16 and (not self.young(w) or self.chance.draw() < self.warmth(w)):
                 drawn[w] = None
-            if len(drawn) == 16:
-                break
         return list(drawn)
 
-    MIX = 0x9E3779B97F4A7C15                    # an odd constant, to mix; as the one in rank
-
     def rank(self, subject: int, w: Worker) -> float:
         """6: the same figure at every scheduler; a fresh worker gets its part by age."""
-        warmth = self.warmth(w) if subject else 1.0
-        return Chance(subject * self.MIX ^ w.id * 0xC2B2AE3D27D4EB4F).mixed() * warmth
+        return Chance(subject * self.MIX ^ w.id * 0xC2B2AE3D27D4EB4F).mixed() * self.warmth(w)
 
     def hand(self, wi: WorkItem, w: Worker, copy: bool) -> Send:
         self.look(w)
--- a/opalwick/drill/host.py
+++ b/opalwick/drill/host.py
@@ -202,7 +202,8 @@
             return                              # not one of ours: passed over
         _, *fields = head.unpack_from(octets)
         rows = [(w, slots * 0.5, _SECONDS[left])
-                for short, slots, left in _ROW.iter_unpack(octets[head.size:]) if (w := self.shorts.get(short)) is not None]
+                for short, slots, left in _ROW.iter_unpack(octets[head.size:])
+                if (w := self.shorts.get(short)) is not None]
         if head is _WORD:
             mark, zone = fields[1], fields[0]
             self.balancer.told(who, mark, zone, rows)
