--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -184,8 +184,9 @@
     def summed(self, mark: int, zone: int, heard: int, rows: Sequence[Row]) -> None:
         """A keeper's answer: what all others that it has heard of have in flight in a zone."""
         z = self.zones.get(zone)
-        if z is None or (mark - z.answered) & 0xFFFFFFFF >= 0x80000000:
-            return                              # of words before those answered last
+        late = z is not None and self.now - z.heard_at < 2.0 and (mark - z.answered) & 0xFFFFFFFF >= 0x80000000
+        if z is None or late:                   # of words before those answered last; after a pause none is
+            return
         z.answered, z.heard_at, z.unanswered = mark, self.now, 0
         z.heard = min(1.0, heard / self.terms.schedulers)
         for w, slots, left in rows:
@@ -613,9 +614,8 @@
         self.note_mean(w)
         if self.held(w) >= w.mean or self.copies + 1 > 0.2 * self.firsts:
             return
-        row, n = block.workers.index(w), len(block.items)
-        for step in range(n):
-            wi = block.items[(row + step) % n]
+        row = block.workers.index(w)
+        for wi in block.items[row:] + block.items[:row]:
             if not wi.answered and self.may(wi, w) and any(not ho.ended for ho in wi.hand_offs):
                 if not self.time_short(wi, w):
                     self.copies += 1
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -6,7 +6,8 @@
 
 from opalwick.balance import Balancer
 from opalwick.interface import (Cancel, Category, Customer, Decision, Defer, Effect, Group, ListForm, Outcome,
-                                Phase, Report, Send, Subscribe, Tell, Terms, Wake, Worker, WorkItem, WriteOff)
+                                Phase, Report, Row, Send, Subscribe, Sum, Tell, Terms, Wake, Worker, WorkItem,
+                                WriteOff)
 
 TRACES = Path(__file__).parent / "traces"
 START = 1000.0
@@ -96,12 +97,18 @@
                 return f"write off {names[id(wi)]}"
             case Subscribe():
                 return "subscribe"
-            case Tell(rows):
-                return "tell " + " ".join(f"{chr(w.id)}:{slots:g}" for w, slots, _ in rows)
+            case Tell(to, _, zone, rows):
+                return f"tell {to} of zone {zone}:{self.row(rows)}"
+            case Sum(to, _, zone, heard, rows):
+                return f"sum to {to} of zone {zone} from {heard}:{self.row(rows)}"
             case Wake():
                 return ""
         raise AssertionError(decision)
 
+    @staticmethod
+    def row(rows: list[Row]) -> str:
+        return "".join(f" {chr(w.id)}:{slots:g}" for w, slots, _ in rows) or " nothing"
+
     def matches(self, name: str) -> None:
         """Compares with the trace kept beside the tests."""
         kept = (TRACES / f"{name}.txt").read_text().splitlines()
