--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -339,18 +339,20 @@
         return not self.young(w) or self.within_budget(wi, w)
 
     def within_budget(self, wi: WorkItem, w: Worker) -> bool:
-        """3: this scheduler's part of what a cold worker bears in any span.
+        """3: whether a cold worker bears one more, of what all schedulers together send it in any span.
 
-        Even parts would keep a work item out of a whole new fleet; where draws seldom meet, fewer share it.
+        Parts by the number of schedulers kept new workers empty at size: a part was less than a work item. So
+        chance lets in as many as are safe, were all schedulers as busy as this one.
         """
-        t = self.terms
-        w.sends = [send for send in w.sends if self.now - send[0] < t.fall_span]
-        # half of the part: hints are rough, and what it turns away counts too
-        budget = 0.5 * t.fall_multiple * self.warmth(w) * self.slots(w) / max(w.pace, 0.2) * t.fall_span
-        # sends of all schedulers that meet here in a span, were all as busy as this one, and two deviations
-        meet = self.rate * t.schedulers * t.fall_span / len(self.workers)
-        budget /= min(t.schedulers, 1.0 + meet + 2.0 * math.sqrt(meet))
-        return sum(work for _, work in w.sends) + wi.work * wi.slots <= budget
+        t, w.sends = self.terms, [send for send in w.sends if self.now - send[0] < self.terms.fall_span]
+        bears = t.fall_multiple * self.warmth(w) * self.slots(w) / max(w.pace, 0.2) * t.fall_span
+        work, own = wi.work * wi.slots, sum(work for _, work in w.sends)
+        # half of it: hints are rough, and what it turns away counts too
+        if work > 0.5 * bears or own and own + work > 0.5 * bears / min(t.schedulers, 3):
+            return False
+        # of a Poisson number with mean 0.04 n squared one in a thousand is over n; twice as many may look here
+        meet = 2.0 * self.rate * t.schedulers * t.fall_span / len(self.workers)
+        return self.chance.draw() * meet < 0.04 * (bears / work) ** 2
 
     def may_defer(self, wi: WorkItem) -> bool:
         c = wi.category
@@ -433,14 +435,12 @@
             yield from self.answer(wi)
             return
         if not live:
-            self.todo.append(wi)
-            return
+            return self.todo.append(wi)
         for ho in live:
             if not ho.copy and self.silent(ho.worker):
                 self.doubted(ho.worker)
         if any(ho.began_at and ho.worker.shun_until < self.now for ho in live):
-            self.at(self.now + max(0.5, live[0].run), wi)
-            return
+            return self.at(self.now + max(0.5, live[0].run), wi)
         for ho in live:
             if self.terms.tells_start and self.now - ho.sent_at >= self.NOTE_IN:
                 # 1: no note that it began: others hold every slot, whatever the last report said
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -103,3 +103,19 @@
     bench.list(ListForm.FULL, **dict.fromkeys(FLEET, Phase.READY))
     bench.lines.append(f"eighty again: {len(bench.balancer.workers)}, looked at {len(bench.balancer.some(0))}")
     bench.matches("ring")
+
+
+def test_hundreds_of_schedulers_fill_a_cold_worker_and_do_not_push_it_over() -> None:
+    """iac0a64, h17a8e1: even parts of its budget were less than a work item, so new workers idled."""
+    lines = []
+    for work in (0.02, 0.4, 2.0):
+        sent = 0
+        for seed in range(1, 301):
+            bench = Bench("B", schedulers=300, seed=seed * 0x9E3779B97F4A7C15)
+            bench.list(ListForm.FULL, ready={"B": START}, B=Phase.READY)
+            bench.take("x", work=work)
+            list(bench.balancer.decisions())
+            sent += len(bench.items["x"].hand_offs)
+        lines.append(f"300 items of {work:g} s, it bears 6 s: {sent} sent, {sent * work:g} s")
+    bench.lines = lines
+    bench.matches("cold_crowd")
