--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -18,8 +18,10 @@
 
 import heapq
 import math
+from bisect import bisect
 from collections import deque
 from collections.abc import Iterator, Sequence
+from itertools import accumulate
 
 from opalwick.chance import Chance
 from opalwick.interface import (NEVER_RAN, Block, Cancel, Customer, Decision, Defer, Effect, Group,
@@ -534,9 +536,11 @@
                 w.limit = 4.0 * self.slots(w)   # a queue of a few times the slots; full answers cut it
             if held >= w.limit or w.shun_until > self.now or w.doubt and held or not self.may(wi, w):
                 continue
-            gain = self.gain(wi, w, self.prospect(wi, w), wi.slots)
+            # 5: a light item that earns less than it costs to cross for is better deferred
+            cross = self.terms.price_cross if w.zone != self.terms.zone else 0.0
+            gain = self.gain(wi, w, self.prospect(wi, w), wi.slots) - cross
             if gain >= 0.0:
-                found.append((gain - (self.terms.price_cross if w.zone != self.terms.zone else 0.0), w))
+                found.append((gain, w))
         if not found:
             return None
         best = max(gain for gain, _ in found)
@@ -547,13 +551,8 @@
         calm = [w for w in near if self.held(w) <= 1.5 * w.mean + 1.0] or near
         if wi.subject:                          # 6
             return max(calm, key=lambda w: self.rank(wi.subject, w))
-        weights = [self.slots(w) / w.pace * self.warmth(w) for w in calm]
-        point = self.chance.draw() * sum(weights)
-        for w, weight in zip(calm, weights):
-            point -= weight
-            if point < 0:
-                return w
-        return calm[-1]
+        ends = list(accumulate(self.slots(w) / w.pace * self.warmth(w) for w in calm))
+        return calm[min(bisect(ends, self.chance.draw() * ends[-1]), len(calm) - 1)]
 
     def some(self, subject: int) -> list[Worker]:
         """The workers that are looked at for one draw."""
