--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -352,9 +352,10 @@
         # half of it: hints are rough, and what it turns away counts too
         if work > 0.5 * bears or own and own + work > 0.5 * bears / min(t.schedulers, 3):
             return False
-        # of a Poisson number with mean 0.04 n squared one in a thousand is over n; twice as many may look here
-        meet = 2.0 * self.rate * t.schedulers * t.fall_span / len(self.workers)
-        return self.chance.draw() * meet < 0.04 * (bears / work) ** 2
+        # iac0a64: of a Poisson number with this mean about one in a thousand is over n; a third of n at most,
+        # since work is heavy-tailed
+        n, meet = bears / work, self.rate * t.schedulers * t.fall_span / len(self.workers)
+        return self.chance.draw() * meet < n * n / (25.0 + 3.0 * n)
 
     def may_defer(self, wi: WorkItem) -> bool:
         c = wi.category
