--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -40,10 +40,10 @@
         self.undo: deque[HandOff] = deque()
         self.due: list[tuple[float, int, WorkItem]] = []
         self.serial, self.woken = 0, -1.0       # woken: when the next wake is due, as far as asked for
-        self.firsts = self.copies = 0
-        self.rate, self.taken_at = 0.0, now
+        self.firsts, self.copies, self.rate, self.taken_at = 0, 0, 0.0, now
         self.kinds: dict[int, list[float]] = {}  # kind: seconds run, seconds of work asked for
         self.sizes: dict[int, list] = {}        # kind: slots seen, reports
+        self.noise = 0.5                        # mean square of a guessed run's log error; rough at first
         self.active: dict[Worker, None] = {}    # workers that hold work of ours
         self.zones: dict[int, Zone] = {}        # of the workers, each with a scheduler that keeps its sums
         self.sums = Sums()                      # as a keeper
@@ -189,8 +189,7 @@
         late = z is not None and self.now - z.heard_at < 2.0 and (mark - z.answered) & 0xFFFFFFFF >= 0x80000000
         if z is None or late:                   # of words before those answered last; after a pause none is
             return
-        z.answered, z.heard_at, z.unanswered = mark, self.now, 0
-        z.heard = min(1.0, heard / self.terms.schedulers)
+        z.answered, z.heard_at, z.unanswered, z.heard = mark, self.now, 0, min(1.0, heard / self.terms.schedulers)
         for w, slots, left in rows:
             w.told_busy, w.told_left, w.seen_at = slots, left, -1.0
 
@@ -248,6 +247,7 @@
         c, kind = wi.category, self.kinds.setdefault(w.kind, [0.0, 0.0])    # kind: about the last hundred
         work = wi.hint or c.run
         taken = min(run, 8.0 * work)            # one freak does not condemn a worker
+        self.noise += (min(math.log(run / (work * w.pace)) ** 2, 4.0) - self.noise) * 0.02
         fade = math.exp((w.ran_at - self.now) / 10.0)
         w.ran, w.asked, w.ran_at = w.ran * fade + taken, w.asked * fade + work, self.now
         kind[0], kind[1] = kind[0] * 0.99 + taken, kind[1] * 0.99 + work
@@ -294,8 +294,8 @@
                     if spent > ho.run:          # it is slower than thought, or the item is heavier
                         ran, asked = ran + spent, asked + ho.wi.work
                 backlog += left * ho.wi.slots
-        # speeds within a kind differ by a fifth, guessed runs by as much again or more: so many outweigh it
-        weight = 20.0 * mean
+        # speeds within a kind differ by about a fifth, a variance of 0.05: so many items outweigh the kind
+        weight = mean * max(1.0, self.noise / 0.05)
         prior = (weight + kind[0]) / (weight + kind[1]) if kind else 1.0
         w.pace = (weight * prior + ran) / (weight + asked)
         # reports older than a few of their periods say little
