--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -186,10 +186,11 @@
     def summed(self, mark: int, zone: int, heard: int, rows: Sequence[Row]) -> None:
         """A keeper's answer: what all others that it has heard of have in flight in a zone."""
         z = self.zones.get(zone)
-        late = z is not None and self.now - z.heard_at < 2.0 and (mark - z.answered) & 0xFFFFFFFF >= 0x80000000
-        if z is None or late:                   # of words before those answered last; after a pause none is
+        late = z and self.now - z.heard_at < 2.0 and (mark - z.answered) & 0xFFFFFFFF >= 0x80000000
+        if not z or late:                       # of words before those answered last; after a pause none is
             return
-        z.answered, z.heard_at, z.unanswered, z.heard = mark, self.now, 0, min(1.0, heard / self.terms.schedulers)
+        share = min(1.0, heard / self.terms.schedulers)
+        z.answered, z.heard_at, z.unanswered, z.heard = mark, self.now, 0, share
         for w, slots, left in rows:
             w.told_busy, w.told_left, w.seen_at = slots, left, -1.0
 
@@ -205,8 +206,7 @@
     def held(w: Worker) -> int:
         return len(w.flights) + len(w.lingering)
 
-    def room(self, w: Worker) -> float:
-        """Slots that own work is not known to hold."""
+    def room(self, w: Worker) -> float:         # slots that own work is not known to hold
         return self.slots(w) - sum(1 for ho in w.flights if ho.began_at) - len(w.lingering)
 
     def over_share(self, customer: Customer) -> bool:
