--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -1,15 +1,15 @@
 """All decisions of opalwick. The types of its inputs and decisions are defined in `interface.py`.
 
 How to call it: one Balancer a scheduler. Set the time with clock(), hand in what happened (listed, taken,
-left, ended, began, progressed, reported, told), which only updates what is known, then pull decisions() until
-none is left; each decision counts as carried out once it is pulled.
+left, ended, began, progressed, reported, told, summed), which only updates what is known, then pull
+decisions() until none is left; each decision counts as carried out once it is pulled.
 
 The ordinary path is the design's: a random worker, skips, blocks, cyclic-row copies, cancels at the first
 finish. Beside the design stand six mechanisms, each marked by its number where it is decided:
   1 sight      when a work item would end at a worker, from own hand-offs, notes, elapsed times, reports
                and what the other schedulers say they have in flight
   2 limit      own work in flight at a worker, grown by one and cut by a share; silence cuts it to a trial
-  3 cold       a fresh worker counts for less by its age, within a budget
+  3 cold       a fresh worker counts for less by its age, and chance lets in what all together may send
   4 move       a further hand-off after one that ended without an answer or has not begun when it should have
   5 deferral   a work item that cannot meet its due time any more is answered at once
   6 subject    the draw is made from the work item's subject, so that equal subjects meet at one worker
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -25,7 +25,8 @@
                  **changes) -> None:
         terms = Terms(categories=kinds or [category()], customers=[], zone=0, schedulers=1, hand_offs=4,
                       may_copy=True, may_cancel=True, may_tell=False, retry_after=1.0, by_work=True,
-                      excess_credit=0.1, price_cross=0.0, price_tell=0.0, position=0, must_ask=False, ask_every=10.0, fall_multiple=3.0,
+                      excess_credit=0.1, price_cross=0.0, price_tell=0.0, position=0, must_ask=False,
+                      ask_every=10.0, fall_multiple=3.0,
                       fall_span=2.0, cold_share=0.25, ramp=10.0, tells_start=True, progress_every=1.0,
                       tick=0.005,
                       report=(Report.FREE_SLOTS,))
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -101,7 +101,7 @@
     bench.take("y", subject=5)
     bench.pull("the list is empty")
     bench.list(ListForm.FULL, **dict.fromkeys(FLEET, Phase.READY))
-    bench.lines.append(f"eighty again: {len(bench.balancer.workers)}, looked at {len(bench.balancer.some(0))}")
+    bench.lines.append(f"{len(bench.balancer.workers)} again, looked at {len(bench.balancer.some(0))}")
     bench.matches("ring")
 
 
