--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -23,8 +23,9 @@
 
 from opalwick.chance import Chance
 from opalwick.interface import (NEVER_RAN, Block, Cancel, Customer, Decision, Defer, Effect, Group,
-                                HandOff, ListForm, Outcome, Phase, Report, Send, Subscribe, Sum, Tell, Terms,
-                                Wake, Worker, WorkItem, WriteOff, Zone)
+                                HandOff, ListForm, Outcome, Phase, Report, Row, Send, Subscribe, Sum, Tell,
+                                Terms, Wake, Worker, WorkItem, WriteOff, Zone)
+from opalwick.sums import Sums
 
 
 class Balancer:
@@ -36,18 +37,14 @@
         self.freed: deque[HandOff] = deque()    # whose worker may take a copy
         self.undo: deque[HandOff] = deque()
         self.due: list[tuple[float, int, WorkItem]] = []
-        self.serial = 0
-        self.woken = -1.0                       # when the next wake is due, as far as asked for
+        self.serial, self.woken = 0, -1.0       # woken: when the next wake is due, as far as asked for
         self.firsts = self.copies = 0
         self.rate, self.taken_at = 0.0, now
         self.kinds: dict[int, list[float]] = {}  # kind: seconds run, seconds of work asked for
         self.sizes: dict[int, list] = {}        # kind: slots seen, reports
-        self.noise = 0.5                        # mean square of a guessed run's log error; rough at first
         self.active: dict[Worker, None] = {}    # workers that hold work of ours
         self.zones: dict[int, Zone] = {}        # of the workers, each with a scheduler that keeps its sums
-        # as a keeper: what each scheduler said of a zone, the oldest words first, and who is to be answered
-        self.words: dict[tuple[int, int], tuple[int, float, Sequence[tuple]]] = {}
-        self.askers: deque[tuple[int, int]] = deque()
+        self.sums = Sums()                      # as a keeper
         self.tells = terms.may_tell and terms.schedulers > 1
         self.others = 0.0                       # mean of others' work items over the workers
         self.early = max(0.01, 2.0 * terms.tick)  # answers go out this long before the expiry: a few ticks
@@ -80,10 +77,10 @@
             w.zone, w.kind, w.cell, w.phase, w.ready_at = zone, kind, cell, phase, ready_at
             self.listed_all[w] = None
             if zone not in self.zones:
-                # they do not all tell at the same moment
-                self.zones[zone] = Zone(zone, self.now + self.TELL * self.terms.position / self.terms.schedulers)
+                late = self.terms.position / self.terms.schedulers  # they do not all tell at the same moment
+                self.zones[zone] = Zone(zone, self.now + self.TELL * late)
         self.workers = [w for w in self.listed_all if w.phase is Phase.READY]
-        self.ring = sorted(self.workers, key=self.spot)
+        self.ring = sorted(self.workers, key=lambda w: Chance(w.id * self.MIX).mixed())
 
     def taken(self, wi: WorkItem) -> None:
         c = wi.category
@@ -149,7 +146,7 @@
         w, ho.began_at = ho.worker, self.now
         self.sign(w)
         if self.now - ho.sent_at < self.NOTE_IN:    # a slot was free: others hold no more than the rest
-            self.seen_others(w, min(w.others, max(0.0, self.slots(w) - self.begun(w))))
+            self.seen_others(w, min(w.others, max(0.0, self.room(w))))
 
     def progressed(self, ho: HandOff, share: float) -> None:
         if not 0 < share <= 1:                  # an odd note is passed over
@@ -162,49 +159,32 @@
             ho.run = max(spent / share, spent)
 
     def reported(self, w: Worker, figures: Sequence[float]) -> None:
-        free = held = waiting = -1.0
-        for name, x in zip(self.terms.report, figures):
-            if not 0 <= x < 1e5:                # nonsense, not a number included
-                continue
-            if name == Report.FREE_SLOTS:
-                free = x
-            elif name == Report.HELD:
-                held = x
-            elif name == Report.WAITING:
-                waiting = x
+        # nonsense is passed over, not a number included
+        seen = {name: x for name, x in zip(self.terms.report, figures) if 0 <= x < 1e5}
+        free, held = seen.get(Report.FREE_SLOTS, -1.0), seen.get(Report.HELD, -1.0)
         if free >= 0:                           # one kind, one size: the most that any showed, less noise
             size = self.sizes.setdefault(w.kind, [1.0, 0])
             size[0] = max(size[0], float(int(0.9 * free + 0.5)))
             size[1] += 1
-        total = held if held >= 0 else (self.slots(w) - free + max(waiting, 0.0) if free >= 0 else -1.0)
-        if total >= 0:
+        if held < 0 and free >= 0:
+            held = self.slots(w) - free + seen.get(Report.WAITING, 0.0)
+        if held >= 0:
             # half old, half new: reports are late and noisy
             # 0.7 s: about the age of a report. What was out longer than that is in it, which at a seldom used
             # worker the recent mean does not show: unguarded, each answer told of its own item as another's
             own = max(w.mean, sum(1 for ho in w.flights if ho.sent_at < self.now - 0.7))
-            self.seen_others(w, w.others + (max(0.0, total - own) - w.others) * 0.5)
+            self.seen_others(w, w.others + (max(0.0, held - own) - w.others) * 0.5)
             self.others += (w.others - self.others) * 0.05  # over about as many reports as there are workers
 
-    def told(self, peer: int, mark: int, zone: int, rows: Sequence[tuple[Worker, float, float]]) -> None:
-        """As a keeper: what a scheduler has in flight in a zone: worker, slots, seconds of slot time to run."""
-        key = peer, zone
-        if zone not in self.zones:
-            return
-        if key in self.words and 0 < (self.words[key][0] - mark) & 0xFFFFFFFF < 0x80000000:
-            return                              # older than what is known: it came late
-        self.unsay(key)
-        self.words[key] = mark, self.now, rows
-        self.zones[zone].kept += 1
-        for w, slots, left in rows:
-            w.kept_busy += slots
-            w.kept_left += left
-        self.askers.append(key)
+    def told(self, peer: int, mark: int, zone: int, rows: Sequence[Row]) -> None:
+        """As a keeper: what a scheduler has in flight in a zone."""
+        if self.tells and zone in self.zones:   # else it is passed over: an answer may be forbidden
+            self.sums.told(self.now, peer, mark, zone, rows)
 
-    def summed(self, peer: int, mark: int, zone: int, heard: int, rows: Sequence[tuple[Worker, float, float]]
-               ) -> None:
+    def summed(self, mark: int, zone: int, heard: int, rows: Sequence[Row]) -> None:
         """A keeper's answer: what all others that it has heard of have in flight in a zone."""
         z = self.zones.get(zone)
-        if z is None or not 0 <= (mark - z.answered) & 0xFFFFFFFF < 0x80000000:
+        if z is None or (mark - z.answered) & 0xFFFFFFFF >= 0x80000000:
             return                              # of words before those answered last
         z.answered, z.heard_at, z.unanswered = mark, self.now, 0
         z.heard = min(1.0, heard / self.terms.schedulers)
@@ -216,24 +196,16 @@
     # seconds: a connection opened over the slowest trips between zones, the work sent, the note come back
     NOTE_IN = 0.1
 
-    TELL = 0.1  # seconds between words at the most: shorter than most work items run
-    # bytes: of a word with a few rows and of a row, for the price of words
-    WORD, ROW = 16, 4
-
-    def unsay(self, key: tuple[int, int]) -> None:
-        if key not in self.words:
-            return
-        self.zones[key[1]].kept -= 1
-        for w, slots, left in self.words.pop(key)[2]:
-            w.kept_busy -= slots
-            w.kept_left -= left
+    TELL = 0.1  # seconds between words at the least: shorter than most work items run
+    MIX = 0x9E3779B97F4A7C15  # an odd constant, to mix; as the one in rank
 
     @staticmethod
     def held(w: Worker) -> int:
         return len(w.flights) + len(w.lingering)
 
-    def begun(self, w: Worker) -> int:
-        return sum(1 for ho in w.flights if ho.began_at) + len(w.lingering)
+    def room(self, w: Worker) -> float:
+        """Slots that own work is not known to hold."""
+        return self.slots(w) - sum(1 for ho in w.flights if ho.began_at) - len(w.lingering)
 
     def over_share(self, customer: Customer) -> bool:
         """5: a scheduler sees but its part of the traffic, so a customer's share is taken of that part."""
@@ -270,12 +242,9 @@
             w.limit = max(1.0, w.limit * 0.5)
 
     def ran(self, wi: WorkItem, w: Worker, run: float) -> None:
-        c = wi.category
+        c, kind = wi.category, self.kinds.setdefault(w.kind, [0.0, 0.0])    # kind: about the last hundred
         work = wi.hint or c.run
         taken = min(run, 8.0 * work)            # one freak does not condemn a worker
-        self.noise += (min(math.log(run / (work * w.pace)) ** 2, 4.0) - self.noise) * 0.02
-        kind = self.kinds.setdefault(w.kind, [0.0, 0.0])
-        # kind: about the last hundred items
         fade = math.exp((w.ran_at - self.now) / 10.0)
         w.ran, w.asked, w.ran_at = w.ran * fade + taken, w.asked * fade + work, self.now
         kind[0], kind[1] = kind[0] * 0.99 + taken, kind[1] * 0.99 + work
@@ -295,8 +264,8 @@
     def warmth(self, w: Worker) -> float:
         """3: the share of its capacity that a worker is sure to have at its age."""
         t = self.terms
-        age = max(0.0, self.now - w.ready_at)
-        return min(1.0, t.cold_share + (1.0 - t.cold_share) * age / t.ramp) if t.ramp > 0 else 1.0
+        age = max(0.0, self.now - w.ready_at) / t.ramp if t.ramp > 0 else 1.0
+        return min(1.0, t.cold_share + (1.0 - t.cold_share) * age)
 
     def look(self, w: Worker) -> None:
         """1: pace, busy slots and backlog of a worker at this moment."""
@@ -322,8 +291,8 @@
                     if spent > ho.run:          # it is slower than thought, or the item is heavier
                         ran, asked = ran + spent, asked + ho.wi.work
                 backlog += left * ho.wi.slots
-        # speeds within a kind differ by about a fifth, a variance of 0.05: so many items outweigh the kind
-        weight = mean * max(1.0, self.noise / 0.05)
+        # speeds within a kind differ by a fifth, guessed runs by as much again or more: so many outweigh it
+        weight = 20.0 * mean
         prior = (weight + kind[0]) / (weight + kind[1]) if kind else 1.0
         w.pace = (weight * prior + ran) / (weight + asked)
         # reports older than a few of their periods say little
@@ -342,38 +311,32 @@
     def silent(self, w: Worker) -> bool:
         """1: a worker that gives no sign while its first hand-off should long have given one."""
         first = next((ho for ho in w.flights if not ho.copy), None)
-        if first is None:
-            return False
         # thrice the usual: a lone slow worker still gives notes; and never less than two progress notes
-        patience = max(3.0 * (first.wait + first.run), 2.2 * self.terms.progress_every, 0.5)
-        return self.now - max(w.sign_at, first.sent_at) > patience
+        return first is not None and self.now - max(w.sign_at, first.sent_at) > max(
+            3.0 * (first.wait + first.run), 2.2 * self.terms.progress_every, 0.5)
 
     # ---- the rules: every hand-off passes here
 
     def may(self, wi: WorkItem, w: Worker) -> bool:
         """Whether this work item may be handed to this worker now, under the four rules."""
         t, c = self.terms, wi.category
-        if wi.answered or self.now >= wi.expiry_at or w.phase is not Phase.READY:
-            return False
-        if len(wi.hand_offs) >= t.hand_offs:
+        if (wi.answered or self.now >= wi.expiry_at or w.phase is not Phase.READY
+                or len(wi.hand_offs) >= t.hand_offs):
             return False
         for ho in wi.hand_offs:
             if not ho.ended and (ho.worker is w or not t.may_copy):
                 return False
             if ho.outcome in NEVER_RAN or c.effect is Effect.RERUNNABLE:
                 continue
-            if c.effect is Effect.EXCLUSIVE or not self.same_group(c.group, ho.worker, w):
+            same = (c.group is Group.ALL or c.group is Group.ZONE and ho.worker.zone == w.zone
+                    or c.group is Group.CELL and ho.worker.cell == w.cell)
+            if c.effect is Effect.EXCLUSIVE or not same:
                 return False
             # 0.5 s for the trip and the queue; a process younger than that send may not know the mark
             if self.now + 0.5 > ho.sent_at + c.window or w.ready_at > ho.sent_at:
                 return False
         return not self.young(w) or self.within_budget(wi, w)
 
-    @staticmethod
-    def same_group(group: Group, a: Worker, b: Worker) -> bool:
-        return (group is Group.ALL or group is Group.ZONE and a.zone == b.zone
-                or group is Group.CELL and a.cell == b.cell)
-
     def within_budget(self, wi: WorkItem, w: Worker) -> bool:
         """3: this scheduler's part of what a cold worker bears in any span.
 
@@ -381,9 +344,8 @@
         """
         t = self.terms
         w.sends = [send for send in w.sends if self.now - send[0] < t.fall_span]
-        pace = max(w.pace, 0.2)
         # half of the part: hints are rough, and what it turns away counts too
-        budget = 0.5 * t.fall_multiple * self.warmth(w) * self.slots(w) / pace * t.fall_span
+        budget = 0.5 * t.fall_multiple * self.warmth(w) * self.slots(w) / max(w.pace, 0.2) * t.fall_span
         # sends of all schedulers that meet here in a span, were all as busy as this one, and two deviations
         meet = self.rate * t.schedulers * t.fall_span / len(self.workers)
         budget /= min(t.schedulers, 1.0 + meet + 2.0 * math.sqrt(meet))
@@ -400,8 +362,7 @@
         if not self.subscribed and not self.asked and self.now >= self.ask_at:
             self.asked = True
             yield Subscribe()
-        if self.tells:
-            yield from self.exchange()
+        yield from self.exchange()
         while self.due and self.due[0][0] <= self.now:
             yield from self.fall_due(heapq.heappop(self.due)[2])
         while self.todo or self.undo or self.freed:
@@ -417,76 +378,59 @@
         wake = self.due[0][0] if self.due else math.inf
         if not self.subscribed:
             wake = min(wake, max(self.ask_at, self.now + 0.05))
-        if self.tells and (self.active or self.rate_now() > 0.05 or any(z.told_any for z in self.zones.values())):
+        if self.tells and (self.active or self.now - self.taken_at < 10.0):
             wake = min(wake, min((z.tell_at for z in self.zones.values()), default=wake))
         if wake < math.inf and (self.woken <= self.now or wake < self.woken):
             self.woken = max(wake, self.now)
             yield Wake(self.woken)
 
-    def rate_now(self) -> float:
-        return self.rate * math.exp((self.taken_at - self.now) / 5.0)
-
     def exchange(self) -> Iterator[Decision]:
         """1: words to the keeper of each zone, and as a keeper the sums in answer.
 
         A word to all grows with the square of the schedulers; to one keeper and back, a work item causes as
         much whatever their number. A keeper that does not answer is passed over for the next in number.
         """
-        t = self.terms
+        t, rate = self.terms, self.rate * math.exp((self.taken_at - self.now) / 5.0)
         for z in self.zones.values():
-            if self.now < z.tell_at:
+            if self.now < z.tell_at or not self.tells:
                 continue
             self.active = {w: None for w in self.active if self.held(w)}
-            rows = [w for w in self.active if w.zone == z.id]
-            size = self.ROW * sum(1 for w in self.workers if w.zone == z.id) + self.WORD
-            rate = self.rate_now()
-            # half a point of price for each work item; a scheduler's own zone is what it mostly asks about
-            often = rate * 0.005 * 256 / (t.price_tell * size) if t.price_tell else 1e9
-            if z.id != t.zone and not rows:
-                often *= 0.2
+            here = [w for w in self.active if w.zone == z.id]
+            # half a point of price for each work item, at four bytes a row and sixteen for the rest; of other
+            # zones a fifth as often, unless work is out there
+            price = t.price_tell * (4 * sum(w.zone == z.id for w in self.workers) + 16) / 256
+            often = rate * 0.005 / max(price, 1e-9) * (1.0 if here or z.id == t.zone else 0.2)
             z.tell_at = self.now + min(1.0, max(self.TELL, 1.0 / max(often, 1e-9)))
-            if not rows and not z.told_any and rate <= 0.05:
+            if not here and not z.told_any and rate <= 0.05:
                 continue
-            z.told_any = bool(rows)
             if z.unanswered >= 2:               # two in a row lost: it is gone or cut off
                 z.tries, z.unanswered, z.home_at = z.tries + 1, 0, self.now + 5.0
             elif z.tries and self.now >= z.home_at:
                 z.tries = z.unanswered = 0
-            for w in rows:
+            z.told_any, z.unanswered = bool(here), z.unanswered + 1
+            for w in here:
                 self.look(w)
-            z.unanswered += 1
-            keeper, mark = (z.id + z.tries) % t.schedulers, int(self.now * 1000) & 0xFFFFFFFF
-            said = [(w, w.busy_own, w.left_own) for w in rows]
-            if keeper == t.position:
-                self.told(keeper, mark, z.id, said)
+            # the clock as the mark of words: those of a scheduler that has restarted count as newer
+            word = Tell((z.id + z.tries) % t.schedulers, int(self.now * 1000) & 0xFFFFFFFF, z.id,
+                        [(w, w.busy_own, w.left_own) for w in here])
+            if word.to == t.position:
+                self.told(*word)
             else:
-                yield Tell(keeper, mark, z.id, said)
-        while self.askers:
-            key = self.askers.popleft()
-            while self.words and self.now - next(iter(self.words.values()))[1] > 2.0:
-                self.unsay(next(iter(self.words)))
-            if key not in self.words:
-                continue
-            mark, _, rows = self.words[key]
-            own = {w: (slots, left) for w, slots, left in rows}
-            sums = []
-            for w in self.workers:
-                if w.zone == key[1]:
-                    slots, left = own.get(w, (0.0, 0.0))
-                    sums.append((w, max(0.0, w.kept_busy - slots), max(0.0, w.kept_left - left)))
-            if key[0] == t.position:
-                self.summed(key[0], mark, key[1], self.zones[key[1]].kept, sums)
+                yield word
+        for to, *words in self.sums.answers(self.now, self.workers):
+            if to == t.position:
+                self.summed(*words)
             else:
-                yield Sum(key[0], mark, key[1], self.zones[key[1]].kept, sums)
+                yield Sum(to, *words)
 
     def fall_due(self, wi: WorkItem) -> Iterator[Decision]:
         """4, 5: a look at a work item that should have begun, be due or is about to expire."""
         if wi.answered:
             return
+        live = [ho for ho in wi.hand_offs if not ho.ended]
         if self.now >= wi.expiry_at - self.early - 1e-6:
             yield from self.answer(wi)
             return
-        live = [ho for ho in wi.hand_offs if not ho.ended]
         if not live:
             self.todo.append(wi)
             return
@@ -499,8 +443,7 @@
         for ho in live:
             if self.terms.tells_start and self.now - ho.sent_at >= self.NOTE_IN:
                 # 1: no note that it began: others hold every slot, whatever the last report said
-                w = ho.worker
-                self.seen_others(w, max(w.others, self.slots(w) - self.begun(w)))
+                self.seen_others(ho.worker, max(ho.worker.others, self.room(ho.worker)))
         best = max(self.prospect(wi, ho.worker, ho) for ho in live)
         if wi.category.effect is Effect.RERUNNABLE and len(wi.hand_offs) < self.terms.hand_offs:
             w = self.choose(wi)
@@ -510,10 +453,10 @@
                 self.undo.extend(live)
                 yield self.hand(wi, w, False)
                 return
-        # it has half its own time of grace, for the place it waited for; but one that is late and still earns
+        # a quarter of its own time is its grace, for its place; one that is late and still earns
         # a little has none: such items kept a burst's queue standing long after the burst
-        grace = 0.5 * wi.work / self.work if best >= 0.5 or not wi.category.tardy_credit else 0.0
-        if all(self.gain(wi, ho.worker, best, wi.slots if grace else 0.0) + grace < 0.0 for ho in live):
+        grace = 0.25 * wi.work / self.work if best >= 0.5 or not wi.category.tardy_credit else 0.0
+        if all(self.gain(wi, ho.worker, best, 0.0) + grace < 0.0 for ho in live):
             yield from self.answer(wi)
             return
         self.at(self.now + 0.1 + 0.25 * abs(wi.due_at - self.now), wi)
@@ -521,10 +464,7 @@
     def answer(self, wi: WorkItem) -> Iterator[Decision]:
         """5: the final answer of a work item given up: deferred where that is truthful, else written off."""
         self.left(wi)
-        if self.may_defer(wi):
-            yield Defer(wi, self.terms.retry_after)
-        else:
-            yield WriteOff(wi)
+        yield Defer(wi, self.terms.retry_after) if self.may_defer(wi) else WriteOff(wi)
 
     def place(self, wi: WorkItem) -> Iterator[Decision]:
         if wi.answered or any(not ho.ended for ho in wi.hand_offs):
@@ -552,9 +492,9 @@
         self.look(w)
         run = self.run_at(wi, w)
         if ho is not None:
-            if ho.worker.shun_until > self.now:
-                return 0.0
             out = self.now - ho.sent_at
+            if w.shun_until > self.now:
+                return 0.0
             if ho.began_at:
                 wait, run = 0.0, max(0.0, run - (self.now - ho.began_at))
             elif self.terms.tells_start and out >= self.NOTE_IN:
@@ -567,12 +507,10 @@
                 run = max(run - spent, 0.3 * spent)
         else:
             wait = self.wait_at(wi, w)
-        spare = wi.due_at - self.now - wait - run
         # spread of the guess: a third of what is guessed, and a trip
-        z = spare / (0.35 * (wait + run) + 0.02)
+        z = (wi.due_at - self.now - wait - run) / (0.35 * (wait + run) + 0.02)
         chance = 1.0 / (1.0 + math.exp(-max(-30.0, min(30.0, z))))
-        late = wi.category.tardy_credit
-        return chance + late * (1.0 - chance)
+        return chance + wi.category.tardy_credit * (1.0 - chance)
 
     def gain(self, wi: WorkItem, w: Worker, prospect: float, more: float) -> float:
         """5: credit to be expected, in mean work items, less what the item takes from those that wait there.
@@ -582,29 +520,26 @@
         """
         slots = self.slots(w)
         crowd = min(1.0, max(0.0, (w.busy + more - slots) / slots))
-        return (prospect - 0.05) * wi.worth / self.value - crowd * wi.work / self.work
+        work = wi.work / self.work
+        # the least gain: a twentieth of a mean item, less for a light one, which was never sent at size
+        return prospect * wi.worth / self.value - 0.05 * min(1.0, work) - crowd * work
 
     def choose(self, wi: WorkItem) -> Worker | None:
         """The design's random draw, over the workers that promise about as much as the best one."""
-        found, best = [], -math.inf
+        found = []
         for w in self.some(wi.subject):
             held = self.held(w)
             if not w.limit:
                 w.limit = 4.0 * self.slots(w)   # a queue of a few times the slots; full answers cut it
-            if held >= w.limit or w.shun_until > self.now or w.doubt and held:
-                continue
-            if not self.may(wi, w):
+            if held >= w.limit or w.shun_until > self.now or w.doubt and held or not self.may(wi, w):
                 continue
             gain = self.gain(wi, w, self.prospect(wi, w), wi.slots)
-            if gain < 0.0:
-                continue
-            if w.zone != self.terms.zone:
-                gain -= self.terms.price_cross
-            found.append((gain, w))
-            best = max(best, gain)
+            if gain >= 0.0:
+                found.append((gain - (self.terms.price_cross if w.zone != self.terms.zone else 0.0), w))
         if not found:
             return None
-        # about equal: a twentieth; with a subject three tenths, as the time to fetch it is not in the guess
+        best = max(gain for gain, _ in found)
+        # about equal: a twentieth; with a subject thrice that, as the time to fetch it is not in the guess
         margin = 0.15 if wi.subject else 0.05
         near = [w for gain, w in found if gain >= best - margin * wi.worth / self.value]
         # the skip margin: one item over one and a half times the recent mean, so that small means still skip
@@ -625,24 +560,17 @@
         if len(self.workers) <= 16:
             return self.workers
         if subject:
-            # 6: from the subject's place on a ring, the same at every scheduler; ranking the whole fleet for
-            # each work item cut days off at full size
-            at = int(Chance(subject * self.MIX).mixed() * len(self.ring))   # by order: all are met alike
-            return (self.ring[at:at + 16] + self.ring)[:16] if at + 16 > len(self.ring) else self.ring[at:at + 16]
+            # 6: from the subject's place on a ring, the same at every scheduler, by order, so that all
+            # are met alike; ranking the whole fleet for each work item cut days off at full size
+            at = int(Chance(subject * self.MIX).mixed() * len(self.ring))
+            return (self.ring[at:] + self.ring[:at])[:16]
         drawn: dict[Worker, None] = {}
         for _ in range(32):                     # some draw one again, or a cold one that counts by its age
             w = self.workers[int(self.chance.draw() * len(self.workers))]
-            if not self.young(w) or self.chance.draw() < self.warmth(w):
+            if len(drawn) < 16 and (not self.young(w) or self.chance.draw() < self.warmth(w)):
                 drawn[w] = None
-            if len(drawn) == 16:
-                break
         return list(drawn)
 
-    MIX = 0x9E3779B97F4A7C15                    # an odd constant, to mix; as the one in rank
-
-    def spot(self, w: Worker) -> float:
-        return Chance(w.id * self.MIX).mixed()
-
     def rank(self, subject: int, w: Worker) -> float:
         """6: the same figure at every scheduler; a fresh worker gets its part by age."""
         return Chance(subject * self.MIX ^ w.id * 0xC2B2AE3D27D4EB4F).mixed() * self.warmth(w)
