--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -18,8 +18,10 @@
 
 import heapq
 import math
+from bisect import bisect
 from collections import deque
 from collections.abc import Iterator, Sequence
+from itertools import accumulate
 
 from opalwick.chance import Chance
 from opalwick.interface import (NEVER_RAN, Block, Cancel, Customer, Decision, Defer, Effect, Group,
@@ -339,18 +341,21 @@
         return not self.young(w) or self.within_budget(wi, w)
 
     def within_budget(self, wi: WorkItem, w: Worker) -> bool:
-        """3: this scheduler's part of what a cold worker bears in any span.
+        """3: whether a cold worker bears one more, of what all schedulers together send it in any span.
 
-        Even parts would keep a work item out of a whole new fleet; where draws seldom meet, fewer share it.
+        Parts by the number of schedulers kept new workers empty at size: a part was less than a work item. So
+        chance lets in as many as are safe, were all schedulers as busy as this one.
         """
-        t = self.terms
-        w.sends = [send for send in w.sends if self.now - send[0] < t.fall_span]
-        # half of the part: hints are rough, and what it turns away counts too
-        budget = 0.5 * t.fall_multiple * self.warmth(w) * self.slots(w) / max(w.pace, 0.2) * t.fall_span
-        # sends of all schedulers that meet here in a span, were all as busy as this one, and two deviations
-        meet = self.rate * t.schedulers * t.fall_span / len(self.workers)
-        budget /= min(t.schedulers, 1.0 + meet + 2.0 * math.sqrt(meet))
-        return sum(work for _, work in w.sends) + wi.work * wi.slots <= budget
+        t, w.sends = self.terms, [send for send in w.sends if self.now - send[0] < self.terms.fall_span]
+        bears = t.fall_multiple * self.warmth(w) * self.slots(w) / max(w.pace, 0.2) * t.fall_span
+        work, own = wi.work * wi.slots, sum(work for _, work in w.sends)
+        # half of it: hints are rough, and what it turns away counts too
+        if work > 0.5 * bears or own and own + work > 0.5 * bears / min(t.schedulers, 3):
+            return False
+        # iac0a64: of a Poisson number with this mean about one in a thousand is over n; a third of n at most,
+        # since work is heavy-tailed
+        n, meet = bears / work, self.rate * t.schedulers * t.fall_span / len(self.workers)
+        return self.chance.draw() * meet < n * n / (25.0 + 3.0 * n)
 
     def may_defer(self, wi: WorkItem) -> bool:
         c = wi.category
@@ -433,14 +438,12 @@
             yield from self.answer(wi)
             return
         if not live:
-            self.todo.append(wi)
-            return
+            return self.todo.append(wi)
         for ho in live:
             if not ho.copy and self.silent(ho.worker):
                 self.doubted(ho.worker)
         if any(ho.began_at and ho.worker.shun_until < self.now for ho in live):
-            self.at(self.now + max(0.5, live[0].run), wi)
-            return
+            return self.at(self.now + max(0.5, live[0].run), wi)
         for ho in live:
             if self.terms.tells_start and self.now - ho.sent_at >= self.NOTE_IN:
                 # 1: no note that it began: others hold every slot, whatever the last report said
@@ -534,9 +537,11 @@
                 w.limit = 4.0 * self.slots(w)   # a queue of a few times the slots; full answers cut it
             if held >= w.limit or w.shun_until > self.now or w.doubt and held or not self.may(wi, w):
                 continue
-            gain = self.gain(wi, w, self.prospect(wi, w), wi.slots)
+            # 5: a light item that earns less than it costs to cross for is better deferred
+            cross = self.terms.price_cross if w.zone != self.terms.zone else 0.0
+            gain = self.gain(wi, w, self.prospect(wi, w), wi.slots) - cross
             if gain >= 0.0:
-                found.append((gain - (self.terms.price_cross if w.zone != self.terms.zone else 0.0), w))
+                found.append((gain, w))
         if not found:
             return None
         best = max(gain for gain, _ in found)
@@ -547,13 +552,8 @@
         calm = [w for w in near if self.held(w) <= 1.5 * w.mean + 1.0] or near
         if wi.subject:                          # 6
             return max(calm, key=lambda w: self.rank(wi.subject, w))
-        weights = [self.slots(w) / w.pace * self.warmth(w) for w in calm]
-        point = self.chance.draw() * sum(weights)
-        for w, weight in zip(calm, weights):
-            point -= weight
-            if point < 0:
-                return w
-        return calm[-1]
+        ends = list(accumulate(self.slots(w) / w.pace * self.warmth(w) for w in calm))
+        return calm[min(bisect(ends, self.chance.draw() * ends[-1]), len(calm) - 1)]
 
     def some(self, subject: int) -> list[Worker]:
         """The workers that are looked at for one draw."""
