--- a/opalwick/drill/host.py
+++ b/opalwick/drill/host.py
@@ -8,7 +8,7 @@
 from opalwick.balance import Balancer
 from opalwick.drill.codec import BadFrame, Reply, records
 from opalwick.interface import (Cancel, Category, Customer, Decision, Defer, Effect, Group, HandOff, ListForm,
-                                Outcome, Phase, Report, Send, Subscribe, Sum, Tell, Terms, Wake, Worker,
+                                Outcome, Phase, Report, Row, Send, Subscribe, Sum, Tell, Terms, Wake, Worker,
                                 WorkItem, WriteOff)
 
 _EFFECTS = {"repeatable": Effect.RERUNNABLE, "by_key": Effect.TICKETED, "once": Effect.EXCLUSIVE}
@@ -17,14 +17,14 @@
 # what schedulers tell each other: kind, zone, mark and, in sums, how many were heard; then a row a worker:
 # the low and high half of its id folded, half slots, and seconds to run on a scale of even ratios
 _WORD, _SUM, _ROW = struct.Struct("<BBI"), struct.Struct("<BBIH"), struct.Struct("<HBB")
+_FIT = (256 - _SUM.size) // _ROW.size
 
 
 def _short(wid: int) -> int:
     return (wid ^ wid >> 16) & 0xFFFF
 
 
-def _rows(rows: list[tuple[Worker, float, float]], room: int) -> bytes:
-    rows = sorted(rows, key=lambda row: -row[2])[:room // _ROW.size] if len(rows) > 60 else rows
+def _rows(rows: list[Row]) -> bytes:
     return b"".join([_ROW.pack(_short(w.id), min(255, round(slots * 2)),
                                min(255, round(20.0 * math.log1p(20.0 * left)))) for w, slots, left in rows])
 
@@ -238,9 +238,13 @@
             case Subscribe():
                 reply.add("tail", 1)
             case Tell(to, mark, zone, rows):
-                reply.message(to, _WORD.pack(0, zone, mark) + _rows(rows, 250))
+                # one message, as a second would take the first's place: the heaviest that fit
+                heaviest = sorted(rows, key=lambda row: -row[2])[:_FIT]
+                reply.message(to, _WORD.pack(0, zone, mark) + _rows(heaviest))
             case Sum(to, mark, zone, heard, rows):
-                reply.message(to, _SUM.pack(1, zone, mark, heard) + _rows(rows, 248))
+                # a zone of more workers than fit takes several: what is left out would stay as last told
+                for at in range(0, max(1, len(rows)), _FIT):
+                    reply.message(to, _SUM.pack(1, zone, mark, heard) + _rows(rows[at:at + _FIT]))
 
 
 class Host:
--- a/opalwick/sums.py
+++ b/opalwick/sums.py
@@ -1,7 +1,6 @@
 """Bookkeeping of a keeper: what all schedulers said they have in flight in a zone, and the sums of it."""
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Iterator, Sequence
 
 from opalwick.interface import Row, Worker
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -119,3 +119,14 @@
         lines.append(f"300 items of {work:g} s, it bears 6 s: {sent} sent, {sent * work:g} s")
     bench.lines = lines
     bench.matches("cold_crowd")
+
+
+def test_an_item_that_earns_less_than_its_crossing_does_not_cross() -> None:
+    """iac0a64: with the own zone full, light items crossed for more than they were worth."""
+    for price in (0.0, 0.16):
+        bench = Bench("AB", price_cross=price)
+        bench.list(ListForm.FULL, zones="01", A=Phase.DRAINING, B=Phase.READY)
+        bench.take("h", work=2.0)
+        bench.take("x", work=0.05)
+        bench.pull(f"a heavy and a light item, crossing costs {price:g}")
+        bench.matches(f"crossing_{price:g}")
