--- a/opalwick/drill/host.py
+++ b/opalwick/drill/host.py
@@ -200,16 +200,14 @@
         head = {0: _WORD, 1: _SUM}.get(octets[0]) if octets else None
         if head is None or len(octets) < head.size or (len(octets) - head.size) % _ROW.size:
             return                              # not one of ours: passed over
-        _, *fields = head.unpack_from(octets)
+        _, zone, mark, *heard = head.unpack_from(octets)
         rows = [(w, slots * 0.5, _SECONDS[left])
                 for short, slots, left in _ROW.iter_unpack(octets[head.size:])
                 if (w := self.shorts.get(short)) is not None]
         if head is _WORD:
-            mark, zone = fields[1], fields[0]
             self.balancer.told(who, mark, zone, rows)
         else:
-            zone, mark, heard = fields
-            self.balancer.summed(mark, zone, heard, rows)
+            self.balancer.summed(mark, zone, *heard, rows)
 
     def wake(self, clock: int, key: int) -> None:
         """Setting the clock was all that was needed."""
