--- a/opalwick/__init__.py
+++ b/opalwick/__init__.py
@@ -1,1 +1,2 @@
-"""opalwick: a dispatcher beside each submitter that pushes work items to workers."""
+"""A dispatcher that stands beside each submitter and pushes work items to workers."""
+__version__ = "0.2.0"
--- /dev/null
+++ b/opalwick/__main__.py
@@ -0,0 +1,4 @@
+"""python -m opalwick: the command line."""
+from opalwick.program.main import app
+
+app()
--- a/opalwick/drill/__main__.py
+++ b/opalwick/drill/__main__.py
@@ -5,7 +5,8 @@
 import sys
 
 from opalwick.drill.codec import BadFrame, read_frame
-from opalwick.drill.host import BadStart, Host
+from opalwick.drill.host import Host
+from opalwick.protocol.settings import BadStart
 
 
 def main() -> int:
--- a/opalwick/interface.py
+++ b/opalwick/interface.py
@@ -5,6 +5,7 @@
 """
 from __future__ import annotations
 
+from collections.abc import Hashable
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 from typing import NamedTuple, Union
@@ -160,7 +161,7 @@
 
 @dataclass(slots=True, eq=False)
 class WorkItem:
-    id: int
+    id: Hashable               # the door's
     category: Category
     customer: Customer | None
     subject: int               # 0: none
--- /dev/null
+++ b/opalwick/program/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, the configuration and the running scheduler."""
--- /dev/null
+++ b/opalwick/program/configuration.py
@@ -0,0 +1,99 @@
+"""The one place where the configuration is read, checked and given defaults."""
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from opalwick.interface import Terms
+from opalwick.protocol.discovery import address
+from opalwick.protocol.settings import BadStart, Names, Values, flat, read_names, read_terms
+from opalwick.transport.connection import Address
+from opalwick.transport.limits import Limits, within
+
+
+class BadConfiguration(Exception):
+    """Names the faulty key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    name: str
+    listen: Address
+    discovery: Address
+    peer_listen: Address | None
+    peers: list[Address]
+    seed: int
+    known: dict[str, Any]       # the list of workers as last had
+    terms: Terms
+    names: Names
+    limits: Limits
+
+
+def _take(given: Mapping[str, Any], key: str, kind: type, default: Any = None) -> Any:
+    value = given.get(key, default)
+    if value is None:
+        raise BadConfiguration(f"{key} is missing")
+    if not isinstance(value, kind):
+        raise BadConfiguration(f"{key} is malformed: {value!r} is not {kind.__name__}")
+    return value
+
+
+def _address(text: Any, key: str) -> Address:
+    try:
+        return address(text)
+    except ValueError as problem:
+        raise BadConfiguration(f"{key} is malformed: {problem}") from None
+
+
+def _number(limits: Mapping[str, Any], key: str, default: float, least: float) -> float:
+    value = limits.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value < 1e9:
+        raise BadConfiguration(f"limits.{key} is malformed: {value!r} is not a number of {least:g} or more")
+    return value
+
+
+def read(environment: Mapping[str, str], path: str | None = None) -> Configuration:
+    """From the file that is named, else the one of BALANCER_CONFIG. The name and the addresses may stand in the
+    environment instead of the file."""
+    path = path or environment.get("BALANCER_CONFIG")
+    if not path:
+        raise BadConfiguration("BALANCER_CONFIG is missing")
+    try:
+        given = json.loads(Path(path).read_text())
+    except OSError as problem:
+        raise BadConfiguration(f"BALANCER_CONFIG cannot be read: {problem}") from None
+    except ValueError as problem:
+        raise BadConfiguration(f"BALANCER_CONFIG is not JSON: {problem}") from None
+    if not isinstance(given, dict):
+        raise BadConfiguration("BALANCER_CONFIG is not an object")
+    seed = _take(given, "seed", str, "0")
+    try:
+        seed_number = int(seed, 16)
+    except ValueError:
+        raise BadConfiguration(f"seed is malformed: {seed!r} is not hexadecimal") from None
+    limits = _take(given, "limits", dict, {})
+    peers = _take(given, "peers", list, [])
+    peer_listen = given.get("peer_listen")
+    settings = flat(_take(given, "settings", dict))
+    try:
+        terms = read_terms(settings)
+        names = read_names(settings, terms)
+        values = Values(settings)
+        budgets = within(
+            # what a small machine gives
+            int(_number(limits, "sockets", 1024, 64)), _number(limits, "memory_mb", 192, 64),
+            int(values.number("ceilings.max-open", 20000)), values.seconds("ceilings.conn-idle-us", 10.0),
+            values.seconds("ceilings.connect-timeout-us", 0.25))
+    except BadStart as problem:
+        raise BadConfiguration(f"settings: {problem}") from None
+    return Configuration(
+        name=_take(given, "name", str, environment.get("BALANCER_NAME", "opalwick")),
+        listen=_address(given.get("listen") or environment.get("BALANCER_LISTEN"), "listen"),
+        discovery=_address(given.get("discovery") or environment.get("BALANCER_DISCOVERY"), "discovery"),
+        peer_listen=None if peer_listen is None else _address(peer_listen, "peer_listen"),
+        peers=[_address(peer, f"peers.{i}") for i, peer in enumerate(peers)], seed=seed_number,
+        known=_take(given, "known", dict, {"seq": 0, "whole": True, "hosts": []}),
+        terms=terms, names=names, limits=budgets)
--- /dev/null
+++ b/opalwick/program/main.py
@@ -0,0 +1,60 @@
+"""The command line."""
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import sys
+from typing import Annotated, Optional
+
+import typer
+from loguru import logger
+
+from opalwick import __version__
+from opalwick.program.configuration import BadConfiguration, read
+
+app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
+                  help="A scheduler beside each submitter that pushes work items to workers.")
+File = Annotated[Optional[str], typer.Argument(help="The configuration; else the file BALANCER_CONFIG names.")]
+
+
+def _read(path: str | None):
+    try:
+        return read(os.environ, path)
+    except BadConfiguration as problem:
+        typer.echo(f"opalwick: {problem}", err=True)
+        raise typer.Exit(2) from None
+
+
+@app.command()
+def serve(configuration: File = None,
+          log: Annotated[str, typer.Option(help="The least level that is logged.")] = "INFO") -> None:
+    """Runs one scheduler until SIGTERM."""
+    import gevent
+
+    from opalwick.program.scheduler import Scheduler
+
+    logger.remove()
+    logger.add(sys.stderr, level=log.upper(), backtrace=False, diagnose=False)
+    scheduler = Scheduler(_read(configuration))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, lambda: scheduler.stop.set())
+    # what is there now stays: later collections look at what came since
+    gc.collect()
+    gc.freeze()
+    scheduler.run()
+
+
+@app.command()
+def check(configuration: File = None) -> None:
+    """Reads and checks a configuration, and prints what it comes to."""
+    found = _read(configuration)
+    typer.echo(f"{found.name}: listens on {found.listen[0]}:{found.listen[1]}, "
+               f"{len(found.terms.categories)} categories, {len(found.peers)} schedulers, "
+               f"{found.limits.clients} client and {found.limits.workers} worker connections")
+
+
+@app.command()
+def version() -> None:
+    """Prints the version."""
+    typer.echo(f"opalwick {__version__}")
--- /dev/null
+++ b/opalwick/program/scheduler.py
@@ -0,0 +1,191 @@
+"""The running scheduler: feeds the reducer and carries out its effects."""
+from __future__ import annotations
+
+import errno
+import time
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+from loguru import logger
+
+from opalwick.interface import ListForm
+from opalwick.program.configuration import Configuration
+from opalwick.protocol.clients import Call, Conversation
+from opalwick.protocol.discovery import Discovery, rows
+from opalwick.protocol.workers import HandingOff, request
+from opalwick.routing.reducer import Close, Datagram, Dispatch, Fail, Finish, Reducer, Refuse, Timer, Watch
+from opalwick.transport.connection import Address, Connection
+from opalwick.transport.datagrams import Datagrams
+from opalwick.transport.pool import Pool
+
+
+class Scheduler:
+    def __init__(self, configuration: Configuration) -> None:
+        c = self.configuration = configuration
+        self.limits, self.names = c.limits, c.names
+        now = time.monotonic()
+        unix = time.time() - now
+        self.reducer = Reducer(c.terms, c.seed, now)
+        self.pool = Pool(c.limits.workers, c.limits.idle_worker, c.limits.ring)
+        self.conversations: dict[Conversation, None] = {}
+        self.out: dict[tuple[Call, int], HandingOff] = {}
+        self.bodies = self.open = 0             # bytes, work items: unanswered
+        self.closing, self.started = False, False
+        self.wake_at, self.rearmed = now, Event()
+        self.peers = {place: i for i, place in enumerate(c.peers)}
+        self.datagrams = Datagrams(c.peer_listen) if c.peer_listen and c.terms.may_tell else None
+        try:
+            version, _, known = rows(c.known, c.names, unix)
+        except ValueError as problem:
+            logger.warning("known: {}; starting from no list", problem)
+            version, known = 0, []
+        self.discovery = Discovery(c.discovery, version, c.names, unix, c.limits,
+                                   lambda form, found: self.put("listed", form, found))
+        self.known, self.stop = known, Event()
+
+    # ---- reducer and effects; none of this waits, so one input is done before the next
+
+    def put(self, kind: str, *fields: Any) -> None:
+        for effect in self.reducer.reduce(time.monotonic(), kind, *fields):
+            self.perform(effect)
+
+    def perform(self, effect: Any) -> None:
+        match effect:
+            case Dispatch(call, number, _, place, give_up_after):
+                until = time.monotonic() + give_up_after
+
+                def tell(kind: str, *fields: Any) -> None:
+                    if kind == "ended":
+                        del self.out[call, number]
+                    self.put(kind, call, number, *fields)
+
+                handing = self.out[call, number] = HandingOff(
+                    place, request(call.message, "%s:%d" % place, give_up_after), until, self.pool, self.limits,
+                    self.names.figures, tell)
+                gevent.spawn(handing.run)
+            case Close(call, number):
+                if handing := self.out.get((call, number)):
+                    handing.give_up()
+            case Finish(call, result):
+                call.answer(200, result, "Content-Type: application/octet-stream")
+            case Refuse(call, come_back_in):
+                call.answer(503, b"", *([f"Retry-After: {come_back_in:g}"] if come_back_in > 0 else []))
+            case Fail(call):
+                call.answer(504)
+            case Timer(at):
+                if at < self.wake_at or self.wake_at <= time.monotonic():
+                    self.wake_at = at
+                    self.rearmed.set()
+            case Watch():
+                gevent.spawn(self.discovery.watch)
+            case Datagram(to, octets):
+                if self.datagrams is not None and to < len(self.configuration.peers):
+                    self.datagrams.send(self.configuration.peers[to], octets)
+
+    def keep_time(self) -> None:
+        """The one timer."""
+        while True:
+            self.rearmed.clear()
+            if self.rearmed.wait(max(0.0, self.wake_at - time.monotonic())):
+                continue
+            self.wake_at = float("inf")
+            self.put("woken")
+
+    def heard(self, sender: Address, octets: bytes) -> None:
+        if (peer := self.peers.get(sender)) is not None:
+            self.put("heard", peer, octets)
+
+    # ---- what the clients' side asks for
+
+    def ready(self) -> bool:
+        return self.started and not self.closing
+
+    def room_for(self, body: int) -> bool:
+        return self.open < self.limits.work_items and self.bodies + body <= self.limits.bodies
+
+    def take(self, call: Call, *fields: Any) -> None:
+        self.open += 1
+        self.bodies += len(call.message.body)
+        self.put("taken", call, *fields)
+
+    def left(self, call: Call) -> None:
+        self.put("left", call)
+
+    def done(self, call: Call) -> None:
+        if call.taken:
+            call.taken = False
+            self.open -= 1
+            self.bodies -= len(call.message.body)
+
+    # ---- running
+
+    def accept(self, listener: Any) -> None:
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError as problem:
+                if problem.errno in (errno.EBADF, errno.EINVAL):
+                    return                      # the listener was closed
+                # no descriptor left: an idle connection makes room, and the client waits in the backlog
+                if not self.pool.shed():
+                    self.shed()
+                gevent.sleep(0.01)
+                continue
+            many = len(self.conversations)
+            if many >= self.limits.clients and self.shed():
+                many -= 1
+            if many >= self.limits.clients + self.limits.spare:
+                sock.close()
+                continue
+            gevent.spawn(self.converse, sock, many >= self.limits.clients)
+
+    def shed(self) -> bool:
+        """At the brim: an idle client connection goes; its client opens another when it needs one."""
+        idle = next((c for c in self.conversations if c.idle()), None)
+        if idle is not None:
+            idle.close()
+            del self.conversations[idle]
+        return idle is not None
+
+    def converse(self, sock: Any, refuse: bool) -> None:
+        connection = Connection(sock, self.limits.ring)
+        conversation = Conversation(connection, self.limits, self.names, self, refuse)
+        self.conversations[conversation] = None
+        try:
+            conversation.run()
+        finally:
+            self.conversations.pop(conversation, None)
+
+    def sweep(self) -> None:
+        while True:
+            gevent.sleep(0.25 * self.limits.idle_worker)
+            self.pool.sweep()
+
+    def run(self) -> None:
+        """Until it was told to close and all is answered."""
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(self.configuration.listen)
+        listener.listen(min(self.limits.clients, 1024))
+        self.put("listed", ListForm.CACHED, self.known)
+        for work in (self.keep_time, self.sweep):
+            gevent.spawn(work)
+        if self.datagrams is not None:
+            gevent.spawn(self.datagrams.receive, self.heard)
+        accepting = gevent.spawn(self.accept, listener)
+        self.started = True
+        logger.info("{} serves on {}:{}", self.configuration.name, *self.configuration.listen)
+        self.stop.wait()
+        logger.info("{} is to end; {} work items unanswered", self.configuration.name, self.open)
+        self.closing = True
+        gevent.sleep(self.limits.closing)
+        accepting.kill()
+        listener.close()
+        while self.conversations:
+            # between requests a connection may be closed; the others are closed after their answer
+            for conversation in [c for c in self.conversations if c.idle()]:
+                conversation.close()
+            gevent.sleep(0.01)
+        logger.info("{} ends", self.configuration.name)
--- /dev/null
+++ b/opalwick/protocol/discovery.py
@@ -0,0 +1,99 @@
+"""The list of workers: a watch kept without a gap, and its entries."""
+from __future__ import annotations
+
+import json
+import time
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+import httptools
+
+from opalwick.interface import ListForm, Phase
+from opalwick.protocol.http import Malformed, Message, Parser
+from opalwick.protocol.settings import Names
+from opalwick.transport.connection import Address, Connection, opened
+from opalwick.transport.limits import Limits
+
+_PHASES = {"ready": Phase.READY, "draining": Phase.DRAINING, "gone": Phase.GONE}
+LONG_AGO = -1e9     # before any start of a clock
+
+
+def address(text: Any) -> Address:
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not colon or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"not an address: {text!r}")
+    return host, int(port)
+
+
+def rows(told: Any, names: Names, unix: float) -> tuple[int, bool, list[tuple]]:
+    """The version, whether the list is whole, and its entries as the reducer takes them. `unix` is the Unix time
+    at which the clock stood at nought. ValueError where a list is no list; an odd entry is passed over, as one
+    worker more or less must not cost the others."""
+    try:
+        version, whole, hosts = int(told["seq"]), bool(told["whole"]), list(told["hosts"])
+    except (TypeError, KeyError) as problem:
+        raise ValueError(f"not a list of workers: {problem}") from None
+    found = []
+    for entry in hosts:
+        try:
+            name, born = str(entry["host"]), float(entry.get("born_ms", 0))
+            found.append((name, zlib.crc32(name.encode()), names.zone(entry["site"]), names.kind(entry["class"]),
+                          int(entry.get("block", 0)), _PHASES[entry["health"]],
+                          born / 1000.0 - unix if born > 0 else LONG_AGO, address(entry["dial"])))
+        except (TypeError, KeyError, ValueError, AttributeError):
+            continue
+    return version, whole, found
+
+
+class Discovery:
+    """Calls are made one after the other, by the greenlet that runs `watch`."""
+
+    def __init__(self, place: Address, version: int, names: Names, unix: float, limits: Limits,
+                 listed: Callable[[ListForm, list[tuple]], None]) -> None:
+        self.place, self.version, self.names, self.unix = place, version, names, unix
+        self.limits, self.listed = limits, listed
+        self.connection: Connection | None = None
+
+    def watch(self) -> None:
+        """Until a call fails: then the reducer asks for another watch when it sees fit."""
+        wait = 0.0                              # the first answer comes at once, and tells that the watch is on
+        try:
+            while True:
+                version, whole, found = self.call(wait)
+                self.version = version
+                if found or whole or not wait:
+                    self.listed(ListForm.FULL if whole else ListForm.CHANGES, found)
+                wait = self.limits.watch
+        except (OSError, Malformed, ValueError):
+            self.close()
+        self.listed(ListForm.FAILED, [])
+
+    def call(self, wait: float) -> tuple[int, bool, list[tuple]]:
+        # calls that do not wait still queue at discovery, which fails them itself when that takes too long
+        until = time.monotonic() + (wait + self.limits.silent if wait else self.limits.queued)
+        target = f"/api/targets?since={self.version}&timeout_ms={max(1, int(wait * 1000))}"
+        data = f"GET {target} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode()
+        if self.connection is not None and self.connection.stale():
+            self.close()
+        if self.connection is None:
+            self.connection = opened(self.limits.ring)
+            self.connection.connect(self.place, self.limits.connect)
+        self.connection.write(data, until - time.monotonic())
+        done: list[Message] = []
+        parser = Parser(httptools.HttpResponseParser, self.limits, done.append, self.limits.list)
+        while not done:
+            came = self.connection.read(until - time.monotonic())
+            if not came:
+                raise ConnectionError("discovery ended the connection")
+            parser.feed(came, 0.0)
+        if not done[0].keep_alive:
+            self.close()
+        if done[0].status != 200:
+            raise ValueError(f"discovery answered {done[0].status}")
+        return rows(json.loads(done[0].body), self.names, self.unix)
+
+    def close(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
--- /dev/null
+++ b/opalwick/protocol/settings.py
@@ -0,0 +1,144 @@
+"""The settings that a scheduler gets at its start: decoded once, for every front; their names end here."""
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from opalwick.interface import Category, Customer, Effect, Group, Report, Terms
+
+_EFFECTS = {"repeatable": Effect.RERUNNABLE, "by_key": Effect.TICKETED, "once": Effect.EXCLUSIVE}
+_REPORT = {"active": Report.HELD, "waiting": Report.WAITING}
+_MICRO = 1e-6
+
+
+class BadStart(Exception):
+    """A start value that is needed is missing or malformed."""
+
+
+def flat(nested: Any, path: str = "") -> dict[str, str]:
+    """Nested settings as path and text: plain lists joined by commas, lists of objects numbered."""
+    if isinstance(nested, Mapping):
+        inside = [(str(key), value) for key, value in nested.items()]
+    elif isinstance(nested, list) and any(isinstance(value, Mapping) for value in nested):
+        inside = [("count", len(nested)), *((str(i), value) for i, value in enumerate(nested))]
+    else:
+        return {path: ",".join(map(_text, nested)) if isinstance(nested, list) else _text(nested)}
+    values: dict[str, str] = {}
+    for key, value in inside:
+        values |= flat(value, f"{path}.{key}" if path else key)
+    return values
+
+
+def _text(value: Any) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return str(value).replace(" ", "_").replace(",", "_")
+
+
+class Values:
+    def __init__(self, values: Mapping[str, str]) -> None:
+        self._values = values
+
+    def text(self, key: str, default: str | None = None) -> str:
+        value = self._values.get(key, default)
+        if value is None:
+            raise BadStart(f"start value {key} is missing")
+        return value
+
+    def number(self, key: str, default: float | None = None) -> float:
+        text = self.text(key, None if default is None else str(default))
+        try:
+            value = float(text)
+        except ValueError:
+            value = math.nan
+        if not math.isfinite(value) or value < 0:
+            raise BadStart(f"start value {key} is malformed: {text!r}")
+        return value
+
+    def seconds(self, key: str, default: float | None = None) -> float:
+        return self.number(key, None if default is None else default / _MICRO) * _MICRO
+
+    def flag(self, key: str) -> bool:
+        text = self.text(key)
+        if text not in ("true", "false"):
+            raise BadStart(f"start value {key} is malformed: {text!r}")
+        return text == "true"
+
+    def choice(self, key: str, choices: Any, default: str | None = None) -> Any:
+        text = self.text(key, default)
+        try:
+            return choices[text]
+        except (KeyError, TypeError):
+            raise BadStart(f"start value {key} is malformed: {text!r}") from None
+
+    def row(self, key: str) -> list[str]:
+        return [part for part in self._values.get(key, "").split(",") if part]
+
+
+def read_terms(given: Mapping[str, str]) -> Terms:
+    values = Values(given)
+    stretches = values.row("family-info.class-stretch")
+    groups = {group.value: group for group in Group}
+    categories = []
+    for i in range(int(values.number("categories.count"))):
+        at = f"categories.{i}."
+        try:
+            stretch = float(stretches[i]) if i < len(stretches) else values.number(at + "aim-stretch", 0.0)
+        except ValueError:
+            raise BadStart(f"start value family-info.class-stretch is malformed: {stretches[i]!r}") from None
+        expiry = values.seconds(at + "expiry-us")
+        categories.append(Category(
+            values.number(at + "credit"), values.choice(at + "effect", _EFFECTS),
+            values.choice(at + "group", groups, "all"), values.seconds(at + "due-time-us"), stretch, expiry,
+            values.number(at + "tardy-credit", 0.0), values.seconds(at + "window-us", expiry)))
+    customers = [Customer(values.number(f"tenants.{i}.quota-per-s", 0.0))
+                 for i in range(int(values.number("tenants.count", 0.0)))]
+    extra = {f"x{n}": values.text(f"family-info.report-x{n}", "") for n in (0, 1)}
+    report = tuple(Report.FREE_SLOTS if extra.get(name) == "free_slots" else _REPORT.get(name, "")
+                   for name in values.row("load-report.names"))
+    return Terms(
+        categories=categories, customers=customers, zone=int(values.number("az", 0.0)),
+        schedulers=max(1, int(values.number("peers-total"))),
+        hand_offs=int(values.number("ceilings.max-hand-offs")),
+        may_copy=values.flag("ceilings.parallel-tries"), may_cancel=values.flag("ceilings.may-cancel"),
+        may_tell=values.flag("ceilings.peers"),
+        retry_after=(values.seconds("ceilings.max-retry-after-us", 0.0)
+                     if values.flag("ceilings.retry-after") else 0.0),
+        by_work=values.choice("credit-basis", {"work": True, "request": False}),
+        excess_credit=values.number("excess-credit", 1.0),
+        price_cross=values.number("prices.cross-zone", 0.0), price_tell=values.number("prices.peer", 0.0),
+        position=int(values.number("position", 0.0)),
+        must_ask=values.choice("discovery", {"ask": True, "push": False}),
+        ask_every=values.seconds("guarantees.ask-every-us", 10.0),
+        fall_multiple=values.number("guarantees.fall-multiple"),
+        fall_span=values.seconds("guarantees.fall-us"), cold_share=values.number("guarantees.cold-share"),
+        ramp=values.seconds("guarantees.ramp-time-us"),
+        tells_start=values.choice("family-info.tells-start", {"true": True, "false": False}, "false"),
+        progress_every=values.seconds("family-info.progress-us", 0.0),
+        tick=values.seconds("tick-us", 0.005), report=report)
+
+
+@dataclass(slots=True)
+class Names:
+    """What the names on the sockets stand for."""
+    categories: dict[str, Category]
+    customers: dict[str, Customer]
+    zones: dict[str, int]
+    kinds: dict[str, int]
+    figures: list[str]      # of a worker's report, in the order of `Terms.report`
+
+    def zone(self, name: str) -> int:
+        return self.zones.setdefault(name, len(self.zones))
+
+    def kind(self, name: str) -> int:
+        return self.kinds.setdefault(name, len(self.kinds))
+
+
+def read_names(given: Mapping[str, str], terms: Terms) -> Names:
+    values = Values(given)
+    numbered = [{name: i for i, name in enumerate(values.row(key))} for key in ("localities", "skus")]
+    return Names({values.text(f"categories.{i}.name"): c for i, c in enumerate(terms.categories)},
+                 {values.text(f"tenants.{i}.name"): c for i, c in enumerate(terms.customers)},
+                 *numbered, values.row("load-report.names"))
--- /dev/null
+++ b/opalwick/routing/reducer.py
@@ -0,0 +1,171 @@
+"""The one owner of all state: an input goes in, effects come out. No input or output, and no clock.
+
+The keys of work items are whatever the front gives: they are only kept and handed back.
+"""
+from __future__ import annotations
+
+from collections.abc import Hashable, Iterator, Sequence
+from typing import Any, NamedTuple
+
+from opalwick.balance import Balancer
+from opalwick.interface import (Cancel, Category, Customer, Defer, HandOff, ListForm, Outcome, Phase, Send,
+                                Subscribe, Sum, Tell, Terms, Wake, Worker, WorkItem, WriteOff)
+from opalwick.protocol.words import packed, short, unpacked
+
+
+# effects: what the front is asked to do
+class Dispatch(NamedTuple):
+    key: Any
+    number: int
+    worker: Hashable
+    place: Any              # where the worker is, as last listed
+    give_up_after: float
+
+
+class Close(NamedTuple):
+    key: Any
+    number: int
+
+
+class Finish(NamedTuple):
+    key: Any
+    result: Any
+
+
+class Refuse(NamedTuple):
+    key: Any
+    come_back_in: float
+
+
+class Fail(NamedTuple):
+    key: Any
+
+
+class Watch(NamedTuple):
+    pass
+
+
+class Datagram(NamedTuple):
+    to: int
+    octets: bytes
+
+
+class Timer(NamedTuple):
+    at: float
+
+
+Effect = Dispatch | Close | Finish | Refuse | Fail | Watch | Datagram | Timer
+
+
+class Reducer:
+    def __init__(self, terms: Terms, seed: int, now: float) -> None:
+        self.terms, self.balancer = terms, Balancer(terms, seed, now)
+        self.items: dict[Hashable, WorkItem] = {}
+        self.workers: dict[Hashable, Worker] = {}
+        self.names: dict[Worker, Hashable] = {}
+        self.places: dict[Worker, Any] = {}
+        self.shorts: dict[int, Worker | None] = {}  # by folded id; None: two workers share it
+        self.finished: list[Finish] = []
+
+    def reduce(self, now: float, kind: str, *fields: Any) -> Iterator[Effect]:
+        """Takes in one input, named as its method below, and gives the effects, to be carried out in order."""
+        self.balancer.clock(now)
+        getattr(self, kind)(*fields)
+        return self.effects()
+
+    # ---- inputs
+
+    def listed(self, form: ListForm, rows: Sequence[tuple]) -> None:
+        """Rows: name, number, zone, kind, cell, phase, when it started, where it is."""
+        known = []
+        for name, number, zone, kind, cell, phase, ready_at, place in rows:
+            worker = self.workers.get(name)
+            if worker is None:
+                worker = self.workers[name] = Worker(number)
+                self.names[worker] = name
+                folded = short(number)
+                self.shorts[folded] = None if folded in self.shorts else worker
+            self.places[worker] = place
+            known.append((worker, zone, kind, cell, Phase(phase), ready_at))
+        self.balancer.listed(form, known)
+
+    def taken(self, key: Hashable, category: Category, customer: Customer | None, subject: int,
+              taken_at: float, expiry_at: float, hint: float, slots: float) -> None:
+        wi = self.items[key] = WorkItem(key, category, customer, subject, taken_at, expiry_at, hint, slots)
+        self.balancer.taken(wi)
+
+    def left(self, key: Hashable) -> None:
+        if wi := self.items.get(key):
+            self.balancer.left(wi)
+            self._forget(wi)
+
+    def ended(self, key: Hashable, number: int, outcome: Outcome, answered: bool = False,
+              figures: Sequence[float] = (), result: Any = None) -> None:
+        ho = self._hand_off(key, number)
+        if ho is None or ho.ended:
+            return
+        if figures:
+            self.balancer.reported(ho.worker, figures)
+        if outcome is Outcome.FINISHED and not ho.wi.answered:
+            self.finished.append(Finish(key, result))
+            answered = True
+        self.balancer.ended(ho, outcome, answered)
+        self._forget(ho.wi)
+
+    def began(self, key: Hashable, number: int) -> None:
+        ho = self._hand_off(key, number)
+        if ho is not None and not ho.ended:
+            self.balancer.began(ho)
+
+    def progressed(self, key: Hashable, number: int, share: float) -> None:
+        ho = self._hand_off(key, number)
+        if ho is not None and not ho.ended:
+            self.balancer.progressed(ho, share)
+
+    def reported(self, name: Hashable, figures: Sequence[float]) -> None:
+        if figures and name in self.workers:
+            self.balancer.reported(self.workers[name], figures)
+
+    def heard(self, peer: int, octets: bytes) -> None:
+        if word := unpacked(octets, self.shorts):
+            if word[0] == "told":
+                self.balancer.told(peer, *word[1])
+            else:
+                self.balancer.summed(*word[1])
+
+    def woken(self) -> None:
+        """The time has moved on, which is all there is to it."""
+
+    # ---- effects
+
+    def effects(self) -> Iterator[Effect]:
+        finished, self.finished = self.finished, []
+        yield from finished
+        for decision in self.balancer.decisions():
+            match decision:
+                case Send(ho, give_up_after):
+                    w = ho.worker
+                    yield Dispatch(ho.wi.id, ho.number, self.names[w], self.places[w], give_up_after)
+                case Cancel(ho):
+                    yield Close(ho.wi.id, ho.number)
+                case Defer(wi, come_back_in):
+                    self._forget(wi)
+                    yield Refuse(wi.id, come_back_in)
+                case WriteOff(wi):
+                    self._forget(wi)
+                    yield Fail(wi.id)
+                case Wake(at):
+                    yield Timer(at)
+                case Subscribe():
+                    yield Watch()
+                case Tell() | Sum():
+                    for octets in packed(decision):
+                        yield Datagram(decision.to, octets)
+
+    def _hand_off(self, key: Hashable, number: int) -> HandOff | None:
+        wi = self.items.get(key)
+        return wi.hand_offs[number] if wi is not None and number < len(wi.hand_offs) else None
+
+    def _forget(self, wi: WorkItem) -> None:
+        if wi.answered and all(ho.ended for ho in wi.hand_offs):
+            self.items.pop(wi.id, None)
--- /dev/null
+++ b/opalwick/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, buffers, pools and datagrams; nothing here knows work items."""
--- /dev/null
+++ b/opalwick/transport/connection.py
@@ -0,0 +1,80 @@
+"""A connection: a blocking-style socket with a ring a direction."""
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from gevent import socket
+
+from opalwick.transport.ring import Ring
+
+Address = tuple[str, int]
+
+
+class Connection:
+    __slots__ = ("sock", "inward", "outward", "closed", "idle_since", "used")
+
+    def __init__(self, sock: Any, room: int) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock, self.inward, self.outward = sock, Ring(room), Ring(room)
+        self.closed, self.used, self.idle_since = False, 0, time.monotonic()
+
+    def connect(self, address: Address, within: float) -> None:
+        self.sock.settimeout(max(0.0, within))
+        self.sock.connect(address)
+
+    def read(self, within: float | None) -> memoryview:
+        """Bytes that came, none at the other side's end; TimeoutError if nothing comes within that time.
+
+        What is returned stays in the ring until the next call.
+        """
+        ring = self.inward
+        ring.drop(ring.size)
+        if within is not None and within <= 0:
+            raise TimeoutError
+        self.sock.settimeout(within)
+        ring.filled(self.sock.recv_into(ring.free()))
+        return ring.held()
+
+    def write(self, data: bytes, within: float) -> None:
+        """Returns when the last byte is written."""
+        end, rest, ring = time.monotonic() + within, memoryview(data), self.outward
+        while rest or ring.size:
+            rest = rest[ring.put(rest):]
+            left = end - time.monotonic()
+            if left <= 0:
+                raise TimeoutError
+            self.sock.settimeout(left)
+            ring.drop(self.sock.send(ring.held()))
+
+    def stale(self) -> bool:
+        """Whether the other side has closed an idle connection, or said something nobody asked for."""
+        try:
+            self.sock.settimeout(0.0)
+            self.sock.recv(1, socket.MSG_PEEK)
+            return True
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def end(self, within: float, most: int) -> None:
+        """Ends sending, waits for the other side to read it, then closes; a reset would eat the answer."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+            until = time.monotonic() + within
+            while most > 0 and (came := self.read(until - time.monotonic())):
+                most -= len(came)
+        except OSError:
+            pass
+        self.close()
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self.sock.close()
+
+
+def opened(room: int) -> Connection:
+    """Not yet connected."""
+    return Connection(socket.socket(socket.AF_INET, socket.SOCK_STREAM), room)
--- /dev/null
+++ b/opalwick/transport/datagrams.py
@@ -0,0 +1,36 @@
+"""Datagrams: sending never waits, and what cannot go now is lost like any other."""
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from gevent import socket
+
+from opalwick.transport.connection import Address
+
+LONGEST = 256   # bytes
+
+
+class Datagrams:
+    def __init__(self, listen: Address) -> None:
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.bind(listen)
+        self.sock.settimeout(0.0)
+
+    def send(self, to: Address, octets: bytes) -> None:
+        try:
+            self.sock.sendto(octets, to)
+        except OSError:
+            pass
+
+    def receive(self, heard: Callable[[Address, bytes], None]) -> None:
+        """Runs in a greenlet of its own."""
+        while True:
+            socket.wait_read(self.sock.fileno())
+            while True:
+                try:
+                    octets, sender = self.sock.recvfrom(LONGEST + 1)
+                except BlockingIOError:
+                    break
+                except OSError:                 # an unreachable peer, told on the next call
+                    continue
+                heard(sender, octets)
--- /dev/null
+++ b/opalwick/transport/limits.py
@@ -0,0 +1,58 @@
+"""All sizes, counts and times that bind the scheduler; filled once at start and handed down."""
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    # counts
+    clients: int            # connections from clients
+    spare: int              # beyond those, to tell a client that it is deferred
+    workers: int            # connections to workers
+    pipelined: int          # requests of one connection that may be unanswered
+    work_items: int         # taken and unanswered, of all connections
+    headers: int            # header fields of one message
+    # sizes in bytes
+    ring: int               # one direction of one connection
+    body: int               # one message's
+    head: int               # one message's fields and target together
+    bodies: int             # of all work items together
+    list: int               # the list of workers
+    # seconds
+    request: float          # from a request's first byte to its last
+    idle_client: float      # a client's connection between requests
+    write: float            # a client that does not read its answer
+    idle_worker: float      # a worker's connection between requests
+    connect: float
+    watch: float            # one watch call waits so long at discovery
+    silent: float           # and is given up so long after that
+    queued: float           # a call that does not wait may stand in discovery's queue so long
+    closing: float          # new requests are taken so long after SIGTERM
+
+
+def within(sockets: int, memory_mb: float, max_open: int, conn_idle: float, connect: float) -> Limits:
+    """Budgets by use, out of what the machine gives."""
+    # files, discovery, datagrams, the listener and what the event loop holds
+    room = max(16, sockets - 32)
+    spare = max(2, room // 32)
+    # of the rest, half and half: each client connection carries one work item, each hand-off one connection
+    clients = (room - spare) // 2
+    memory = memory_mb * 1e6
+    return Limits(
+        clients=clients, spare=spare, workers=room - spare - clients, pipelined=8,
+        # some kilobytes each, with their greenlets: an eighth of the memory
+        work_items=max(64, min(max_open, int(memory / 8 / 8000))), headers=64,
+        # most messages pass in one piece; twice a thousand of them are a twelfth of the memory
+        ring=4096 * 2, body=65536, head=16384, bodies=int(memory / 6),
+        # some thousands of workers
+        list=4 << 20,
+        request=5.0, idle_client=75.0, write=5.0,
+        # clearly before the worker closes it: a request that crosses the close may have run
+        idle_worker=max(0.5 * conn_idle, conn_idle - 3.0), connect=connect,
+        # discovery serves calls in turn, so few long ones; what it tells counts as told 2 s after the wait
+        watch=20.0, silent=1.5,
+        # what such a call has to tell counts as told after six
+        queued=5.0,
+        # connections come for up to 0.4 s after SIGTERM
+        closing=0.5)
--- /dev/null
+++ b/opalwick/transport/pool.py
@@ -0,0 +1,62 @@
+"""Connections that are kept for reuse, within a budget of descriptors."""
+from __future__ import annotations
+
+import time
+
+from opalwick.transport.connection import Address, Connection, opened
+
+
+class NoRoom(Exception):
+    """The budget of descriptors is spent and no connection is idle."""
+
+
+class Pool:
+    def __init__(self, most: int, idle: float, ring: int) -> None:
+        self.most, self.idle, self.ring, self.open = most, idle, ring, 0
+        self.kept: dict[Address, list[Connection]] = {}     # the latest used last
+
+    def take(self, address: Address) -> Connection:
+        """A connection that is open, or a new one that is not yet connected (`used` is 0)."""
+        kept = self.kept.get(address)
+        while kept:
+            connection = kept.pop()             # the latest used: the rest can grow old and go
+            # a request that crosses the other side's close may have run: neither old nor closed ones are used
+            if time.monotonic() - connection.idle_since < self.idle and not connection.stale():
+                connection.used += 1
+                return connection
+            self.close(connection)
+        if self.open >= self.most and not self.shed():
+            raise NoRoom
+        try:
+            connection = opened(self.ring)
+        except OSError as problem:              # the process has fewer descriptors than it was told
+            raise NoRoom from problem
+        self.open += 1
+        return connection
+
+    def give(self, address: Address, connection: Connection) -> None:
+        if connection.closed:
+            return self.close(connection)
+        connection.idle_since = time.monotonic()
+        self.kept.setdefault(address, []).append(connection)
+
+    def close(self, connection: Connection) -> None:
+        self.open -= 1
+        connection.close()
+
+    def shed(self) -> bool:
+        """At the brim: the connection that has been idle longest goes."""
+        kept = min((kept for kept in self.kept.values() if kept), key=lambda kept: kept[0].idle_since,
+                   default=None)
+        if kept is None:
+            return False
+        self.close(kept.pop(0))
+        return True
+
+    def sweep(self) -> None:
+        """Drops what has been idle too long."""
+        for address, kept in list(self.kept.items()):
+            while kept and time.monotonic() - kept[0].idle_since >= self.idle:
+                self.close(kept.pop(0))
+            if not kept:
+                del self.kept[address]
