--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# What a developer does here; everything runs in the repository's own .venv.
+PYTHON = .venv/bin/python
+
+.PHONY: build test lint run clean
+
+build: .venv/done
+
+.venv/done: requirements.txt requirements-dev.txt
+	test -d .venv || python3 -m venv .venv
+	.venv/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+	$(PYTHON) -m compileall -q opalwick
+	touch $@
+
+test: build
+	$(PYTHON) -m pytest -q
+
+lint: build
+	$(PYTHON) -m ruff check .
+	$(PYTHON) -m mypy
+
+# CONFIGURATION=file, or BALANCER_CONFIG in the environment
+run: build
+	$(PYTHON) -m opalwick serve $(CONFIGURATION)
+
+clean:
+	rm -rf .venv .ci-venv .pytest_cache .mypy_cache .ruff_cache
--- a/opalwick/drill/host.py
+++ b/opalwick/drill/host.py
@@ -8,7 +8,8 @@
 from opalwick.drill.codec import BadFrame, Reply, records
 from opalwick.interface import ListForm, Outcome
 from opalwick.protocol.settings import read_terms
-from opalwick.routing.reducer import Close, Datagram, Dispatch, Effect, Fail, Finish, Reducer, Refuse, Timer, Watch
+from opalwick.routing.reducer import (Close, Datagram, Dispatch, Effect, Fail, Finish, Reducer, Refuse, Timer,
+                                       Watch)
 
 _MICRO = 1e-6
 
--- a/opalwick/program/configuration.py
+++ b/opalwick/program/configuration.py
@@ -41,9 +41,9 @@
     return value
 
 
-def _address(text: Any, key: str) -> Address:
+def _address(text: Any, key: str, least: int = 1) -> Address:
     try:
-        return address(text)
+        return address(text, least)
     except ValueError as problem:
         raise BadConfiguration(f"{key} is malformed: {problem}") from None
 
@@ -56,8 +56,10 @@
 
 
 def read(environment: Mapping[str, str], path: str | None = None) -> Configuration:
-    """From the file that is named, else the one of BALANCER_CONFIG. The name and the addresses may stand in the
-    environment instead of the file."""
+    """From the file that is named, else from that of BALANCER_CONFIG.
+
+    The name and the addresses may stand in the environment instead.
+    """
     path = path or environment.get("BALANCER_CONFIG")
     if not path:
         raise BadConfiguration("BALANCER_CONFIG is missing")
@@ -84,16 +86,16 @@
         values = Values(settings)
         budgets = within(
             # what a small machine gives
-            int(_number(limits, "sockets", 1024, 64)), _number(limits, "memory_mb", 192, 64),
+            int(_number(limits, "sockets", 1024, 1)), _number(limits, "memory_mb", 192, 1),
             int(values.number("ceilings.max-open", 20000)), values.seconds("ceilings.conn-idle-us", 10.0),
             values.seconds("ceilings.connect-timeout-us", 0.25))
     except BadStart as problem:
         raise BadConfiguration(f"settings: {problem}") from None
     return Configuration(
         name=_take(given, "name", str, environment.get("BALANCER_NAME", "opalwick")),
-        listen=_address(given.get("listen") or environment.get("BALANCER_LISTEN"), "listen"),
+        listen=_address(given.get("listen") or environment.get("BALANCER_LISTEN"), "listen", 0),
         discovery=_address(given.get("discovery") or environment.get("BALANCER_DISCOVERY"), "discovery"),
-        peer_listen=None if peer_listen is None else _address(peer_listen, "peer_listen"),
+        peer_listen=None if peer_listen is None else _address(peer_listen, "peer_listen", 0),
         peers=[_address(peer, f"peers.{i}") for i, peer in enumerate(peers)], seed=seed_number,
         known=_take(given, "known", dict, {"seq": 0, "whole": True, "hosts": []}),
         terms=terms, names=names, limits=budgets)
--- a/opalwick/program/main.py
+++ b/opalwick/program/main.py
@@ -15,7 +15,7 @@
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
                   help="A scheduler beside each submitter that pushes work items to workers.")
-File = Annotated[Optional[str], typer.Argument(help="The configuration; else the file BALANCER_CONFIG names.")]
+File = Annotated[Optional[str], typer.Argument(help="The configuration; else BALANCER_CONFIG names it.")]
 
 
 def _read(path: str | None):
--- a/opalwick/program/scheduler.py
+++ b/opalwick/program/scheduler.py
@@ -14,7 +14,7 @@
 from opalwick.program.configuration import Configuration
 from opalwick.protocol.clients import Call, Conversation
 from opalwick.protocol.discovery import Discovery, rows
-from opalwick.protocol.workers import HandingOff, request
+from opalwick.protocol.workers import HandingOff
 from opalwick.routing.reducer import Close, Datagram, Dispatch, Fail, Finish, Reducer, Refuse, Timer, Watch
 from opalwick.transport.connection import Address, Connection
 from opalwick.transport.datagrams import Datagrams
@@ -48,8 +48,11 @@
     # ---- reducer and effects; none of this waits, so one input is done before the next
 
     def put(self, kind: str, *fields: Any) -> None:
-        for effect in self.reducer.reduce(time.monotonic(), kind, *fields):
-            self.perform(effect)
+        try:
+            for effect in self.reducer.reduce(time.monotonic(), kind, *fields):
+                self.perform(effect)
+        except Exception:  # noqa: BLE001 - one work item's trouble must not end the others'
+            logger.exception("input {} failed", kind)
 
     def perform(self, effect: Any) -> None:
         match effect:
@@ -62,12 +65,11 @@
                     self.put(kind, call, number, *fields)
 
                 handing = self.out[call, number] = HandingOff(
-                    place, request(call.message, "%s:%d" % place, give_up_after), until, self.pool, self.limits,
-                    self.names.figures, tell)
+                    place, call.message, until, self.pool, self.limits, self.names.figures, tell)
                 gevent.spawn(handing.run)
             case Close(call, number):
-                if handing := self.out.get((call, number)):
-                    handing.give_up()
+                if (call, number) in self.out:
+                    self.out[call, number].give_up()
             case Finish(call, result):
                 call.answer(200, result, "Content-Type: application/octet-stream")
             case Refuse(call, come_back_in):
@@ -88,7 +90,10 @@
         """The one timer."""
         while True:
             self.rearmed.clear()
-            if self.rearmed.wait(max(0.0, self.wake_at - time.monotonic())):
+            rearmed = self.rearmed.wait(max(0.0, self.wake_at - time.monotonic()))
+            # the event loop's clock may run a little ahead: a wake that came early would be passed over by
+            # the module, and none would follow
+            if rearmed or time.monotonic() < self.wake_at:
                 continue
             self.wake_at = float("inf")
             self.put("woken")
@@ -118,11 +123,15 @@
             call.taken = False
             self.open -= 1
             self.bodies -= len(call.message.body)
+            call.message.body = b""             # the item is remembered until its expiry
 
     # ---- running
 
     def accept(self, listener: Any) -> None:
         while True:
+            # what is accepted must be answered, so at the very brim the rest waits outside
+            while len(self.conversations) >= self.limits.clients + self.limits.spare and not self.shed():
+                gevent.sleep(0.01)
             try:
                 sock, _ = listener.accept()
             except OSError as problem:
@@ -133,26 +142,23 @@
                     self.shed()
                 gevent.sleep(0.01)
                 continue
-            many = len(self.conversations)
-            if many >= self.limits.clients and self.shed():
-                many -= 1
-            if many >= self.limits.clients + self.limits.spare:
-                sock.close()
-                continue
-            gevent.spawn(self.converse, sock, many >= self.limits.clients)
+            if len(self.conversations) >= self.limits.clients:
+                self.shed()
+            conversation = Conversation(Connection(sock, self.limits.ring), self.limits, self.names, self,
+                                        len(self.conversations) >= self.limits.clients)
+            self.conversations[conversation] = None
+            gevent.spawn(self.converse, conversation)
 
     def shed(self) -> bool:
         """At the brim: an idle client connection goes; its client opens another when it needs one."""
-        idle = next((c for c in self.conversations if c.idle()), None)
+        idle = min((c for c in self.conversations if c.idle()),
+                   key=lambda c: c.connection.idle_since, default=None)
         if idle is not None:
             idle.close()
             del self.conversations[idle]
         return idle is not None
 
-    def converse(self, sock: Any, refuse: bool) -> None:
-        connection = Connection(sock, self.limits.ring)
-        conversation = Conversation(connection, self.limits, self.names, self, refuse)
-        self.conversations[conversation] = None
+    def converse(self, conversation: Conversation) -> None:
         try:
             conversation.run()
         finally:
@@ -168,6 +174,7 @@
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind(self.configuration.listen)
+        self.place = listener.getsockname()
         listener.listen(min(self.limits.clients, 1024))
         self.put("listed", ListForm.CACHED, self.known)
         for work in (self.keep_time, self.sweep):
--- a/opalwick/protocol/clients.py
+++ b/opalwick/protocol/clients.py
@@ -20,22 +20,22 @@
 
 class Call:
     """One request and the answer that is owed for it; the front's key of its work item."""
-    __slots__ = ("message", "reply", "close", "answer_to", "taken")
+    __slots__ = ("message", "reply", "close", "changed", "taken")
 
-    def __init__(self, message: Message, close: bool, answer_to: Event) -> None:
-        self.message, self.close, self.answer_to = message, close, answer_to
-        self.reply: bytes | None = None
+    def __init__(self, message: Message, close: bool, changed: Event) -> None:
+        self.message, self.close, self.changed = message, close, changed
+        self.reply: tuple[int, bytes, tuple[str, ...]] | None = None
         self.taken = False                      # handed on as a work item
 
     def answer(self, status: int, body: bytes = b"", *fields: str) -> None:
         if self.reply is None:
-            self.reply = response(status, body, self.close, *fields)
-            self.answer_to.set()
+            self.reply = status, body, fields
+            self.changed.set()
 
 
 class Takes(Protocol):
-    """What the scheduler does for the clients' side."""
-    closing: bool       # it is to end: connections are closed after their next answer
+    """What the scheduler does for the clients' side; nothing of it waits."""
+    closing: bool       # it is to end: connections are closed as soon as nothing is owed on them
 
     def ready(self) -> bool: ...
 
@@ -48,7 +48,7 @@
     def done(self, call: Call) -> None: ...
 
 
-def _whole(text: bytes | None, what: str, most: float = 1e12) -> float | None:
+def _number(text: bytes | None, what: str) -> float | None:
     """A number of nought or more; none where the field is missing."""
     if text is None:
         return None
@@ -56,7 +56,7 @@
         value = float(text)
     except ValueError:
         value = math.nan
-    if not 0 <= value <= most:
+    if not 0 <= value <= 1e12:
         raise Malformed(400, f"{what} is malformed")
     return value
 
@@ -76,22 +76,22 @@
 def decode(message: Message, names: Names, now: float) -> tuple:
     """The fields of a work item: category, customer, subject, taken at, expiry at, hint, slots."""
     parts = message.target.split(b"?", 1)[0].split(b"/")
-    name = message.header(b"x-service-class") or (parts[1] if len(parts) > 1 else b"")
+    name = message.headers.get(b"x-service-class") or (parts[1] if len(parts) > 1 else b"")
     category: Category | None = names.categories.get(name.decode("latin-1"))
     if category is None:
         raise Malformed(404, "no such class")
     if message.method != b"POST":
         raise Malformed(405, "only POST")
-    if not message.header(b"x-correlation-id"):
+    if not message.headers.get(b"x-correlation-id"):
         raise Malformed(400, "X-Correlation-Id is missing")
-    left = _whole(message.header(b"x-time-left-ms"), "X-Time-Left-Ms")
+    left = _number(message.headers.get(b"x-time-left-ms"), "X-Time-Left-Ms")
     # counted from the sending: its first byte
     expiry_at = message.first_at + (category.expiry if left is None else left / 1000.0)
-    customer: Customer | None = names.customers.get((message.header(b"x-account") or b"").decode("latin-1"))
+    customer: Customer | None = names.customers.get(message.headers.get(b"x-account", b"").decode("latin-1"))
     # the same number at every scheduler
     subject = zlib.crc32(parts[-1]) + 1 if len(parts) > 2 and parts[-1] else 0
-    hint = (_whole(message.header(b"x-weight-hint"), "X-Weight-Hint") or 0.0) * 1e-6
-    slots = facts(message.header(b"x-facts")).get(b"slots", 1.0)
+    hint = (_number(message.headers.get(b"x-weight-hint"), "X-Weight-Hint") or 0.0) * 1e-6
+    slots = facts(message.headers.get(b"x-facts")).get(b"slots", 1.0)
     return category, customer, subject, now, expiry_at, hint, slots if 0 < slots < 1e4 else 1.0
 
 
@@ -103,75 +103,87 @@
         self.connection, self.limits, self.names, self.scheduler = connection, limits, names, scheduler
         self.refuse = refuse                    # at the brim: one answer, then it goes
         self.owed: deque[Call] = deque()        # in the order asked
-        self.changed = Event()                  # an answer is there, or reading has ended
-        self.drained = Event()                  # an answer was written
+        self.changed = Event()                  # an answer is there, or reading is over
+        self.written = Event()                  # an answer was written, or writing is over
         self.over = False
-        self.parser = Parser(httptools.HttpRequestParser, limits, self.whole)
+        self.last = False                       # nothing more is taken: what comes is read and dropped
+        self.parser = Parser(httptools.HttpRequestParser, limits, self.whole, self.expects)
 
     def idle(self) -> bool:
-        return not self.owed and self.parser.message is None
+        """Between requests: it may be closed."""
+        return not self.owed and not self.parser.begun and not self.connection.readable()
 
     def close(self) -> None:
         self.over = True
-        self.connection.close()
+        self.connection.close()                 # whoever waits on it finds out
         self.changed.set()
+        self.written.set()
 
     def run(self) -> None:
         writer = gevent.spawn(self.write)
         try:
             self.read()
         except OSError:                         # reset, or closed from here
-            self.over = True
+            pass
         finally:
-            if self.over:
-                for call in self.owed:
-                    if call.taken and call.reply is None:
-                        self.scheduler.left(call)
-                self.connection.close()
-            self.changed.set()
+            self.close()
             writer.join()
+            for call in self.owed:              # the client has gone away
+                if call.taken and call.reply is None:
+                    self.scheduler.left(call)
+                self.scheduler.done(call)
+
+    # ---- reading
 
     def read(self) -> None:
+        """Until the other side's end."""
         while not self.over:
             while len(self.owed) >= self.limits.pipelined and not self.over:
-                self.drained.clear()
-                self.drained.wait()
-            begun, now = self.parser.message, time.monotonic()
-            if begun is not None:
-                within = begun.first_at + self.limits.request - now
-            else:
-                within = None if self.owed else self.limits.idle_client
+                self.written.clear()
+                self.written.wait()
             try:
-                data = self.connection.read(within)
+                data = self.connection.read(self.patience())
             except TimeoutError:
-                if begun is None:
+                if not self.parser.begun:
                     if not self.owed:
-                        self.over = True        # idle
-                    continue
-                self.fault(Malformed(408, "the request came too slowly"))
-                return
+                        return                  # idle for long
+                else:
+                    self.fault(Malformed(408, "the request came too slowly"))
+                continue
             if not data:
-                self.over = True                # the client has gone away
-                return
-            try:
-                self.parser.feed(data, time.monotonic())
-            except Malformed as problem:
-                self.fault(problem)
                 return
+            if not self.last:
+                try:
+                    self.parser.feed(data, time.monotonic())
+                except Malformed as problem:
+                    self.fault(problem)
+
+    def patience(self) -> float | None:
+        if self.last:
+            return None                         # the writer ends it
+        if self.parser.begun:
+            return self.parser.message.first_at + self.limits.request - time.monotonic()
+        return None if self.owed else self.limits.idle_client
 
     def fault(self, problem: Malformed) -> None:
-        call = Call(Message(0.0), True, self.changed)
-        call.answer(problem.status, problem.text.encode())
+        self.last = True
+        self.parser.begun = False
+        self.owe(Call(Message(0.0), True, self.changed)).answer(problem.status, problem.text.encode())
+
+    def owe(self, call: Call) -> Call:
         self.owed.append(call)
-        self.changed.set()
+        return call
+
+    def expects(self) -> None:
+        """Called by the parser: the client waits for leave to send the body."""
+        self.owe(Call(Message(0.0), False, self.changed)).answer(100)
 
     def whole(self, message: Message) -> None:
         """Called by the parser; nothing here waits."""
-        if self.owed and self.owed[-1].close:   # what follows a last request is not read
+        if self.last:                           # what follows a last request is not taken
             return
-        close = self.refuse or not message.keep_alive or self.scheduler.closing
-        call = Call(message, close, self.changed)
-        self.owed.append(call)
+        self.last = self.refuse or not message.keep_alive
+        call = self.owe(Call(message, self.last, self.changed))
         if message.target.split(b"?", 1)[0] == b"/-/ready":
             return call.answer(200 if self.scheduler.ready() else 503)
         try:
@@ -183,27 +195,33 @@
         call.taken = True
         self.scheduler.take(call, *fields)
 
+    # ---- writing
+
     def write(self) -> None:
         try:
-            while True:
-                while self.owed and self.owed[0].reply is not None and not self.over:
-                    call = self.owed[0]
-                    self.connection.write(call.reply, self.limits.write)
-                    self.owed.popleft()
-                    self.scheduler.done(call)
-                    self.drained.set()
-                    if call.close:
-                        self.over = True
-                        # what it still sends is read and dropped, as a reset would take the answer with it
-                        self.connection.end(1.0, self.limits.body)
-                if self.over:
+            while not self.over:
+                reply = self.owed[0].reply if self.owed else None
+                if reply is None:
+                    self.changed.clear()
+                    self.changed.wait()
+                    continue
+                call = self.owed[0]
+                # decided now: it may have been told to close since the request came
+                if self.scheduler.closing and len(self.owed) == 1 and not self.parser.begun:
+                    self.last = call.close = True
+                status, body, fields = reply
+                self.connection.write(response(status, body, call.close, *fields), self.limits.write)
+                self.connection.idle_since = time.monotonic()
+                self.owed.popleft()
+                self.scheduler.done(call)
+                self.written.set()
+                if call.close:
+                    # the reader reads on and drops, as a reset would take the answer with it
+                    self.connection.shut()
+                    self.changed.clear()
+                    self.changed.wait(self.limits.linger)
                     return
-                self.changed.clear()
-                self.changed.wait()
-        except OSError:                         # gone, or it does not read: its reader finds out
-            self.over = True
-            self.connection.close()
+        except OSError:                         # gone, or it does not read
+            pass
         finally:
-            self.drained.set()
-            for call in self.owed:
-                self.scheduler.done(call)
+            self.close()
--- a/opalwick/protocol/discovery.py
+++ b/opalwick/protocol/discovery.py
@@ -19,17 +19,19 @@
 LONG_AGO = -1e9     # before any start of a clock
 
 
-def address(text: Any) -> Address:
+def address(text: Any, least: int = 1) -> Address:
     host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not colon or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not colon or not port.isdigit() or not least <= int(port) < 65536:
         raise ValueError(f"not an address: {text!r}")
     return host, int(port)
 
 
 def rows(told: Any, names: Names, unix: float) -> tuple[int, bool, list[tuple]]:
-    """The version, whether the list is whole, and its entries as the reducer takes them. `unix` is the Unix time
-    at which the clock stood at nought. ValueError where a list is no list; an odd entry is passed over, as one
-    worker more or less must not cost the others."""
+    """The version, whether the list is whole, and its entries as the reducer takes them.
+
+    `unix` is the Unix time at which the clock stood at nought. ValueError where a list is no list; an odd
+    entry is passed over, as one worker more or less must not cost the others.
+    """
     try:
         version, whole, hosts = int(told["seq"]), bool(told["whole"]), list(told["hosts"])
     except (TypeError, KeyError) as problem:
@@ -38,7 +40,9 @@
     for entry in hosts:
         try:
             name, born = str(entry["host"]), float(entry.get("born_ms", 0))
-            found.append((name, zlib.crc32(name.encode()), names.zone(entry["site"]), names.kind(entry["class"]),
+            # the same number at every scheduler
+            number = zlib.crc32(name.encode())
+            found.append((name, number, names.zone(entry["site"]), names.kind(entry["class"]),
                           int(entry.get("block", 0)), _PHASES[entry["health"]],
                           born / 1000.0 - unix if born > 0 else LONG_AGO, address(entry["dial"])))
         except (TypeError, KeyError, ValueError, AttributeError):
@@ -57,7 +61,7 @@
 
     def watch(self) -> None:
         """Until a call fails: then the reducer asks for another watch when it sees fit."""
-        wait = 0.0                              # the first answer comes at once, and tells that the watch is on
+        wait = 0.0                              # the first answer comes at once: the watch is on
         try:
             while True:
                 version, whole, found = self.call(wait)
@@ -74,14 +78,14 @@
         until = time.monotonic() + (wait + self.limits.silent if wait else self.limits.queued)
         target = f"/api/targets?since={self.version}&timeout_ms={max(1, int(wait * 1000))}"
         data = f"GET {target} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode()
-        if self.connection is not None and self.connection.stale():
+        if self.connection is not None and self.connection.readable():
             self.close()
         if self.connection is None:
             self.connection = opened(self.limits.ring)
             self.connection.connect(self.place, self.limits.connect)
         self.connection.write(data, until - time.monotonic())
         done: list[Message] = []
-        parser = Parser(httptools.HttpResponseParser, self.limits, done.append, self.limits.list)
+        parser = Parser(httptools.HttpResponseParser, self.limits, done.append, most=self.limits.list)
         while not done:
             came = self.connection.read(until - time.monotonic())
             if not came:
--- a/opalwick/protocol/http.py
+++ b/opalwick/protocol/http.py
@@ -21,36 +21,38 @@
     __slots__ = ("method", "target", "headers", "body", "status", "keep_alive", "first_at")
 
     def __init__(self, first_at: float) -> None:
-        self.method, self.target, self.headers, self.body = b"", b"", {}, b""
+        self.method = self.target = self.body = b""
+        self.headers: dict[bytes, bytes] = {}   # by lower-case name
         self.status, self.keep_alive, self.first_at = 0, True, first_at
 
-    def header(self, name: bytes) -> bytes | None:
-        return self.headers.get(name)
-
 
 class Parser:
     """Feeds bytes to httptools and hands on each message when it is whole."""
 
     def __init__(self, kind: Any, limits: Limits, whole: Callable[[Message], None],
-                 most: int = 0) -> None:
+                 expects: Callable[[], None] | None = None, most: int = 0) -> None:
         self.limits, self.whole, self.now = limits, whole, 0.0
         self.most = most or limits.body         # bytes of a body
-        self.message: Message | None = None     # begun, not whole
-        self.head = 0
+        self.expects = expects                  # called when the other side waits for leave to send a body
+        self.message, self.begun = Message(0.0), False  # begun: and not yet whole
+        self.head = 0                           # bytes of fields so far
+        self.unread = 0                         # bytes fed since the head began, while it is not complete
         self.problem: Malformed | None = None
-        self.parts: list[bytes] = []
-        self.held = 0                           # bytes of body so far
+        self.parts: list[bytes] = []            # of the body
+        self.held = 0                           # their bytes
         self.parser = kind(self)
 
     def feed(self, data: memoryview, now: float) -> None:
         self.now = now
+        self.unread += len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.problem = self.problem or Malformed(400, "no other protocol is spoken here")
         except httptools.HttpParserError as problem:
             if self.problem is None:
                 self.problem = Malformed(400, str(problem) or "malformed")
+        # httptools holds a field back until it is complete, however long it is
+        if self.problem is None and self.unread > self.limits.head + self.limits.ring:
+            self.problem = Malformed(431, "header fields too large")
         if self.problem is not None:
             raise self.problem
 
@@ -61,7 +63,8 @@
     # ---- called by httptools
 
     def on_message_begin(self) -> None:
-        self.message, self.head, self.parts, self.held = Message(self.now), 0, [], 0
+        self.message, self.begun = Message(self.now), True
+        self.head, self.parts, self.held = 0, [], 0
 
     def on_url(self, part: bytes) -> None:
         self.message.target += part
@@ -75,34 +78,44 @@
         self.message.headers[name.lower()] = value
 
     def on_headers_complete(self) -> None:
+        self.unread = 0
         length = self.message.headers.get(b"content-length", b"0")
         if length.isdigit() and int(length) > self.most:
             self.refuse(413, "body too large")
+        if self.parser.should_upgrade():        # httptools would leave the rest unread
+            self.refuse(400, "no other protocol is spoken here")
+        if self.expects is not None and self.message.headers.get(b"expect", b"").lower() == b"100-continue":
+            self.expects()
 
     def on_body(self, part: bytes) -> None:
+        self.unread = 0
         self.held += len(part)
         if self.held > self.most:
             self.refuse(413, "body too large")
         self.parts.append(part)
 
     def on_message_complete(self) -> None:
-        message, self.message = self.message, None
+        message, self.begun, self.unread = self.message, False, 0
         message.body, self.parts, self.held = b"".join(self.parts), [], 0
         message.keep_alive = self.parser.should_keep_alive()
         if isinstance(self.parser, httptools.HttpRequestParser):
             message.method = self.parser.get_method()
         else:
             message.status = self.parser.get_status_code()
+            if message.status < 200:            # the answer itself is still to come
+                return
         self.whole(message)
 
 
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-           413: "Content Too Large", 414: "URI Too Long", 429: "Too Many Requests",
+REASONS = {100: "Continue", 200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+           408: "Request Timeout", 413: "Content Too Large", 414: "URI Too Long", 429: "Too Many Requests",
            431: "Request Header Fields Too Large", 502: "Bad Gateway", 503: "Service Unavailable",
            504: "Gateway Timeout"}
 
 
 def response(status: int, body: bytes, close: bool, *fields: str) -> bytes:
+    if status < 200:
+        return f"HTTP/1.1 {status} {REASONS[status]}\r\n\r\n".encode()
     lines = [f"HTTP/1.1 {status} {REASONS.get(status, '')}", f"Content-Length: {len(body)}", *fields]
     if close:
         lines.append("Connection: close")
--- a/opalwick/protocol/settings.py
+++ b/opalwick/protocol/settings.py
@@ -138,7 +138,7 @@
 
 def read_names(given: Mapping[str, str], terms: Terms) -> Names:
     values = Values(given)
-    numbered = [{name: i for i, name in enumerate(values.row(key))} for key in ("localities", "skus")]
+    zones, kinds = ({name: i for i, name in enumerate(values.row(key))} for key in ("localities", "skus"))
     return Names({values.text(f"categories.{i}.name"): c for i, c in enumerate(terms.categories)},
                  {values.text(f"tenants.{i}.name"): c for i, c in enumerate(terms.customers)},
-                 *numbered, values.row("load-report.names"))
+                 zones, kinds, values.row("load-report.names"))
--- a/opalwick/protocol/workers.py
+++ b/opalwick/protocol/workers.py
@@ -10,7 +10,7 @@
 
 from opalwick.interface import Outcome
 from opalwick.protocol.http import Malformed, Message, Parser
-from opalwick.transport.connection import Address
+from opalwick.transport.connection import Address, Connection
 from opalwick.transport.limits import Limits
 from opalwick.transport.pool import NoRoom, Pool
 
@@ -19,8 +19,10 @@
 
 
 def figures(load: Any, names: Sequence[str]) -> tuple[float, ...]:
-    """A load report, as an object or as text, in the order of the names; what is missing or odd counts as less
-    than nothing, which the module passes over."""
+    """A load report, as an object or as text, in the order of the names.
+
+    What is missing or odd counts as less than nothing, which the module passes over.
+    """
     if isinstance(load, bytes):
         load = dict(pair.split("=", 1) for pair in load.decode("latin-1").split(",") if "=" in pair)
     if not isinstance(load, dict) or not load:
@@ -37,7 +39,7 @@
 def request(message: Message, dial: str, time_left: float) -> bytes:
     lines = [b"%b %b HTTP/1.1" % (message.method, message.target), b"Host: " + dial.encode()]
     for name in (b"X-Correlation-Id", b"Idempotency-Key", b"X-Service-Class", b"Content-Type"):
-        if (value := message.header(name.lower())) is not None:
+        if (value := message.headers.get(name.lower())) is not None:
             lines.append(name + b": " + value)
     lines.append(b"X-Time-Left-Ms: %d" % max(0, int(time_left * 1000)))
     lines.append(b"Content-Length: %d" % len(message.body))
@@ -49,13 +51,16 @@
 
     def __init__(self, limits: Limits) -> None:
         super().__init__(httptools.HttpResponseParser, limits, self.ended)
-        self.line, self.lines, self.last = b"", [], None
+        self.line = b""                         # begun, not whole
+        self.lines: list[bytes] = []            # not yet looked at
+        self.last: Message | None = None        # the whole answer, once it is over
 
     def on_body(self, part: bytes) -> None:
+        self.unread = 0
         if self.parser.get_status_code() != 200:
             return
         *whole, self.line = (self.line + part).split(b"\n")
-        if len(self.line) > 2 * self.limits.body:   # a result may be escaped
+        if len(self.line) > 8 * self.limits.body:   # a result may be escaped, with six bytes for one
             self.refuse(502, "a line too long")
         self.lines += whole
 
@@ -65,16 +70,22 @@
         self.last = message
 
 
+End = tuple[Outcome, tuple[float, ...], bytes]     # with the load report and the result that came along
+
+
 class HandingOff:
     """One hand-off on its way; `tell` gets the reducer's inputs of it."""
-    __slots__ = ("address", "data", "pool", "limits", "names", "tell", "connection", "answer", "given_up",
-                 "until")
+    __slots__ = ("address", "id", "data", "until", "pool", "limits", "names", "tell", "connection", "answer",
+                 "given_up")
 
-    def __init__(self, address: Address, data: bytes, until: float, pool: Pool, limits: Limits,
+    def __init__(self, address: Address, message: Message, until: float, pool: Pool, limits: Limits,
                  names: Sequence[str], tell: Callable[..., None]) -> None:
-        self.address, self.data, self.until = address, data, until
+        self.address, self.until = address, until
+        self.id = message.headers[b"x-correlation-id"].decode("latin-1")
+        self.data = request(message, "%s:%d" % address, until - time.monotonic())
         self.pool, self.limits, self.names, self.tell = pool, limits, names, tell
-        self.connection, self.answer, self.given_up = None, Answer(limits), False
+        self.connection: Connection | None = None
+        self.answer, self.given_up = Answer(limits), False
 
     def give_up(self) -> None:
         """Closes the connection; the greenlet that waits on it finds out and tells the outcome."""
@@ -83,47 +94,47 @@
             self.connection.close()
 
     def run(self) -> None:
-        outcome, load, result = Outcome.BROKEN, (), None
+        if self.given_up or time.monotonic() >= self.until:
+            self.tell("ended", Outcome.NOT_SENT)
+            return
+        try:
+            connection = self.connection = self.pool.take(self.address)
+        except NoRoom:
+            self.tell("ended", Outcome.NOT_SENT)
+            return
+        ended: End = (Outcome.BROKEN, (), b"")
         try:
-            if self.given_up or time.monotonic() >= self.until:
-                outcome = Outcome.NOT_SENT
-                return
-            try:
-                connection = self.connection = self.pool.take(self.address)
-            except NoRoom:
-                outcome = Outcome.NOT_SENT
-                return
-            outcome = self.send()
-            if outcome is None:
-                outcome, load, result = self.listen()
+            unsent = self.send(connection)
+            ended = (unsent, (), b"") if unsent else self.listen(connection)
         finally:
+            outcome, load, result = ended
             # told before the connection goes back, so that nothing that waits holds up the outcome
             self.tell("ended", outcome, False, load, result)
-            if self.connection is not None:
-                self.finish()
+            self.connection = None
+            self.finish(connection)
 
-    def send(self) -> Outcome | None:
+    def send(self, connection: Connection) -> Outcome | None:
         """None once the last byte is written; until then it has not run."""
-        connection = self.connection
         try:
             if not connection.used:
                 connection.used = 1
                 connection.connect(self.address, min(self.limits.connect, self.until - time.monotonic()))
             connection.write(self.data, self.until - time.monotonic())
+            self.data = b""
             return None
         except OSError:
             connection.close()
             over = self.given_up or time.monotonic() >= self.until
             return Outcome.NOT_SENT if over else Outcome.NO_CONNECTION
 
-    def listen(self) -> tuple[Outcome, tuple[float, ...], Any]:
-        connection, answer = self.connection, self.answer
+    def listen(self, connection: Connection) -> End:
+        answer = self.answer
         try:
             while True:
                 data = connection.read(self.until - time.monotonic())
                 if not data:
                     connection.close()
-                    return Outcome.BROKEN, (), None
+                    return Outcome.BROKEN, (), b""
                 answer.feed(data, 0.0)
                 lines, answer.lines = answer.lines, []
                 for line in lines:
@@ -133,17 +144,19 @@
                     return self.status(answer.last)
         except TimeoutError:
             connection.close()
-            return Outcome.TIMED_OUT, (), None
+            return Outcome.TIMED_OUT, (), b""
         except (OSError, Malformed):
             connection.close()
-            return (Outcome.CANCELLED if self.given_up else Outcome.BROKEN), (), None
+            return (Outcome.CANCELLED if self.given_up else Outcome.BROKEN), (), b""
 
-    def line(self, line: bytes) -> tuple[Outcome, tuple[float, ...], Any] | None:
+    def line(self, line: bytes) -> End | None:
         """The outcome, if this line tells it."""
         try:
             told = json.loads(line)
             state = told["state"]
-        except (ValueError, TypeError, KeyError):
+            if told.get("id", self.id) != self.id:
+                return None                     # of another request
+        except (ValueError, TypeError, KeyError, AttributeError):
             return None                         # an odd line is passed over
         if state == "started":
             self.tell("began")
@@ -152,22 +165,23 @@
             if isinstance(share, (int, float)):
                 self.tell("progressed", float(share))
         elif state in _STATES:
-            result = told.get("result")
-            return (_STATES[state], figures(told.get("load"), self.names),
-                    (result if isinstance(result, str) else json.dumps(result)).encode())
+            result, outcome = told.get("result"), _STATES[state]
+            if outcome is Outcome.FINISHED and not isinstance(result, str):
+                outcome = Outcome.ERROR         # it ran, but there is nothing to hand on
+            return outcome, figures(told.get("load"), self.names), result.encode() if result else b""
         return None
 
-    def status(self, last: Message) -> tuple[Outcome, tuple[float, ...], Any]:
+    def status(self, last: Message) -> End:
         """The outcome of an answer without a last line."""
-        load = figures(last.header(b"x-backend-load"), self.names)
+        load = figures(last.headers.get(b"x-backend-load"), self.names)
         if last.status == 200:
-            return Outcome.BROKEN, load, None
-        never_ran = last.status in (503, 504) and last.header(b"x-unprocessed") == b"1"
-        return (Outcome.FULL if never_ran else Outcome.ERROR), load, None
+            return Outcome.BROKEN, load, b""
+        never_ran = last.status in (503, 504) and last.headers.get(b"x-unprocessed") == b"1"
+        return (Outcome.FULL if never_ran else Outcome.ERROR), load, b""
 
-    def finish(self) -> None:
+    def finish(self, connection: Connection) -> None:
         """The connection goes back once its message is over."""
-        connection, answer, self.connection = self.connection, self.answer, None
+        answer = self.answer
         try:
             until = time.monotonic() + 0.25     # the last chunk comes with the last line or right after
             while not connection.closed and answer.last is None:
--- a/opalwick/routing/reducer.py
+++ b/opalwick/routing/reducer.py
@@ -17,7 +17,7 @@
 class Dispatch(NamedTuple):
     key: Any
     number: int
-    worker: Hashable
+    worker: Any
     place: Any              # where the worker is, as last listed
     give_up_after: float
 
@@ -68,7 +68,7 @@
         self.finished: list[Finish] = []
 
     def reduce(self, now: float, kind: str, *fields: Any) -> Iterator[Effect]:
-        """Takes in one input, named as its method below, and gives the effects, to be carried out in order."""
+        """Takes in one input, named as its method below; gives the effects, to be carried out in order."""
         self.balancer.clock(now)
         getattr(self, kind)(*fields)
         return self.effects()
--- a/opalwick/transport/connection.py
+++ b/opalwick/transport/connection.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import time
+from select import POLLIN, poll
 from typing import Any
 
 from gevent import socket
@@ -47,27 +48,15 @@
             self.sock.settimeout(left)
             ring.drop(self.sock.send(ring.held()))
 
-    def stale(self) -> bool:
-        """Whether the other side has closed an idle connection, or said something nobody asked for."""
-        try:
-            self.sock.settimeout(0.0)
-            self.sock.recv(1, socket.MSG_PEEK)
-            return True
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-
-    def end(self, within: float, most: int) -> None:
-        """Ends sending, waits for the other side to read it, then closes; a reset would eat the answer."""
-        try:
-            self.sock.shutdown(socket.SHUT_WR)
-            until = time.monotonic() + within
-            while most > 0 and (came := self.read(until - time.monotonic())):
-                most -= len(came)
-        except OSError:
-            pass
-        self.close()
+    def readable(self) -> bool:
+        """Whether something unread is there, the other side's end included."""
+        watched = poll()
+        watched.register(self.sock.fileno(), POLLIN)
+        return bool(watched.poll(0))
+
+    def shut(self) -> None:
+        """Ends sending."""
+        self.sock.shutdown(socket.SHUT_WR)
 
     def close(self) -> None:
         if not self.closed:
--- a/opalwick/transport/limits.py
+++ b/opalwick/transport/limits.py
@@ -23,6 +23,7 @@
     request: float          # from a request's first byte to its last
     idle_client: float      # a client's connection between requests
     write: float            # a client that does not read its answer
+    linger: float           # a client that does not close after its last answer
     idle_worker: float      # a worker's connection between requests
     connect: float
     watch: float            # one watch call waits so long at discovery
@@ -47,7 +48,7 @@
         ring=4096 * 2, body=65536, head=16384, bodies=int(memory / 6),
         # some thousands of workers
         list=4 << 20,
-        request=5.0, idle_client=75.0, write=5.0,
+        request=5.0, idle_client=75.0, write=5.0, linger=1.0,
         # clearly before the worker closes it: a request that crosses the close may have run
         idle_worker=max(0.5 * conn_idle, conn_idle - 3.0), connect=connect,
         # discovery serves calls in turn, so few long ones; what it tells counts as told 2 s after the wait
--- a/opalwick/transport/pool.py
+++ b/opalwick/transport/pool.py
@@ -21,7 +21,7 @@
         while kept:
             connection = kept.pop()             # the latest used: the rest can grow old and go
             # a request that crosses the other side's close may have run: neither old nor closed ones are used
-            if time.monotonic() - connection.idle_since < self.idle and not connection.stale():
+            if time.monotonic() - connection.idle_since < self.idle and not connection.readable():
                 connection.used += 1
                 return connection
             self.close(connection)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -1,13 +1,22 @@
 """Drives the module alone and prints its decisions as a short trace."""
 from __future__ import annotations
 
+import re
 from dataclasses import replace
 from pathlib import Path
 
+import gevent
+import gevent.socket
+
 from opalwick.balance import Balancer
 from opalwick.interface import (Cancel, Category, Customer, Decision, Defer, Effect, Group, ListForm, Outcome,
                                 Phase, Report, Row, Send, Subscribe, Sum, Tell, Terms, Wake, Worker, WorkItem,
                                 WriteOff)
+from opalwick.protocol.clients import Call, Conversation
+from opalwick.protocol.settings import flat, read_names, read_terms
+from opalwick.routing.reducer import Reducer
+from opalwick.transport.connection import Connection
+from opalwick.transport.limits import Limits, within
 
 TRACES = Path(__file__).parent / "traces"
 START = 1000.0
@@ -18,7 +27,16 @@
                             tardy_credit=0.0, window=2.0), **changes)
 
 
-class Bench:
+class Traced:
+    lines: list[str]
+
+    def matches(self, name: str) -> None:
+        """Compares with the trace kept beside the tests."""
+        kept = (TRACES / f"{name}.txt").read_text().splitlines()
+        assert self.lines == [line for line in kept if not line.startswith("#")]
+
+
+class Bench(Traced):
     """One scheduler, its workers named by letters, and the trace of what it decides."""
 
     def __init__(self, workers: str = "ABCD", kinds: list[Category] | None = None, seed: int = 7,
@@ -110,7 +128,166 @@
     def row(rows: list[Row]) -> str:
         return "".join(f" {chr(w.id)}:{slots:g}" for w, slots, _ in rows) or " nothing"
 
-    def matches(self, name: str) -> None:
-        """Compares with the trace kept beside the tests."""
-        kept = (TRACES / f"{name}.txt").read_text().splitlines()
-        assert self.lines == [line for line in kept if not line.startswith("#")]
+
+
+# ---- the scheduler: settings in the operators' form, a reducer, and stand-ins on the other side of sockets
+
+SETTINGS = {
+    "az": 0, "categories": [
+        {"name": "look", "credit": 1.0, "effect": "repeatable", "due-time-us": 400000, "expiry-us": 5000000},
+        {"name": "pay", "credit": 3.0, "effect": "by_key", "group": "zone", "due-time-us": 400000,
+         "expiry-us": 5000000, "window-us": 9000000}],
+    "ceilings": {"conn-idle-us": 10000000, "connect-timeout-us": 250000, "max-hand-offs": 3,
+                 "may-cancel": True, "max-retry-after-us": 2000000, "parallel-tries": True,
+                 "peers": True, "retry-after": True},
+    "credit-basis": "work", "discovery": "ask", "localities": ["east", "west"], "skus": ["big", "small"],
+    "family-info": {"class-stretch": [2.0, 2.0], "progress-us": 1000000, "report-x0": "free slots",
+                    "tells-start": True},
+    "guarantees": {"ask-every-us": 10000000, "cold-share": 0.25, "fall-multiple": 3.0, "fall-us": 2000000,
+                   "ramp-time-us": 10000000},
+    "load-report": {"names": ["x0", "active"]}, "peers-total": 2, "position": 0, "prices": {"peer": 0.01}}
+
+
+def settings(**changes) -> dict[str, str]:
+    return flat(SETTINGS | changes)
+
+
+def limits(**changes) -> Limits:
+    return replace(within(256, 192, 1000, 10.0, 0.25), **changes)
+
+
+class Desk(Traced):
+    """A reducer alone; its inputs and effects are printed."""
+
+    def __init__(self, workers: str = "AB", **changes) -> None:
+        self.terms = read_terms(settings(**changes))
+        self.reducer, self.now, self.lines = Reducer(self.terms, 7, START), START, []
+        self.put("listed", ListForm.CACHED, [self.row(name) for name in workers], note="list")
+
+    @staticmethod
+    def row(name: str, phase: Phase = Phase.READY, place: str = "") -> tuple:
+        return name, ord(name), 0, 0, 0, phase, -1e9, place or f"at {name}"
+
+    def take(self, key: str, category: int = 0) -> None:
+        c = self.terms.categories[category]
+        self.put("taken", key, c, None, 0, self.now, self.now + c.expiry, 0.1, 1.0, note=f"take {key}")
+
+    def put(self, kind: str, *fields, note: str = "") -> list:
+        effects = list(self.reducer.reduce(self.now, kind, *fields))
+        said = [f"{type(effect).__name__.lower()} {' '.join(map(str, effect))}".strip() for effect in effects
+                if type(effect).__name__ != "Timer"]
+        self.lines.append(f"{self.now - START:5.2f}  {note or ' '.join([kind, *map(str, fields)])}: "
+                          f"{', '.join(said) or 'nothing'}")
+        return effects
+
+
+class Client(Traced):
+    """The other side of a client's connection, and a scheduler that only notes what it is asked."""
+
+    def __init__(self, room: int = 8, refuse: bool = False, **changes) -> None:
+        self.lines: list[str] = []
+        self.calls: list[Call] = []
+        self.closing, self.room = False, room
+        terms = read_terms(settings())
+        self.sock, there = gevent.socket.socketpair()
+        self.sock.settimeout(2.0)
+        there = _Plain(there)
+        kept = limits(**changes)
+        self.conversation = Conversation(Connection(there, kept.ring), kept, read_names(settings(), terms),
+                                         self, refuse)
+        self.running = gevent.spawn(self.conversation.run)
+
+    def ready(self) -> bool:
+        return not self.closing
+
+    def room_for(self, body: int) -> bool:
+        return len(self.calls) < self.room
+
+    def take(self, call: Call, category: Category, customer: object, subject: int, now: float,
+             expiry_at: float, hint: float, slots: float) -> None:
+        self.calls.append(call)
+        self.lines.append(f"taken {call.message.target.decode()}: {expiry_at - call.message.first_at:.3f} s, "
+                          f"hint {hint:g}, slots {slots:g}, {len(call.message.body)} bytes")
+
+    def left(self, call: Call) -> None:
+        self.lines.append(f"left {call.message.target.decode()}")
+
+    def done(self, call: Call) -> None:
+        if call.taken:
+            self.lines.append(f"done {call.message.target.decode()}")
+
+    def say(self, *parts: bytes) -> None:
+        for part in parts:
+            self.sock.sendall(part)
+            gevent.sleep(0.02)
+
+    def hear(self) -> None:
+        """Prints what came, without the lengths."""
+        gevent.sleep(0.02)
+        try:
+            came = self.sock.recv(65536)
+        except TimeoutError:
+            came = b"(nothing)"
+        text = came.decode().replace("\r\n", " | ") or "(end)"
+        self.lines.append(f"hear {re.sub(r' [|] Content-Length: [0-9]+', '', text).strip(' |')}")
+
+
+def post(target: str = "/look/7", body: bytes = b"x", *fields: str, **named: str) -> bytes:
+    headers = {"X-Correlation-Id": "c1", "X-Service-Class": target.split("/")[1], "X-Time-Left-Ms": "480",
+               "Content-Length": str(len(body))}
+    headers |= {name.replace("_", "-"): text for name, text in named.items()}
+    return "\r\n".join([f"POST {target} HTTP/1.1", "Host: app.svc",
+                        *(f"{name}: {text}" for name, text in headers.items() if text), *fields, "", ""]
+                       ).encode() + body
+
+
+class _Plain:
+    """A socket of a pair, which takes no TCP options."""
+
+    def __init__(self, sock: gevent.socket.socket) -> None:
+        self._sock = sock
+
+    def setsockopt(self, *option: int) -> None:
+        pass
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._sock, name)
+
+
+class Stand:
+    """A listener on loopback that answers each request it reads with the next piece of its script.
+
+    A piece is bytes to send; None holds the connection silent; an empty piece closes it.
+    """
+
+    def __init__(self, *script: bytes | None) -> None:
+        self.script, self.heard, self.connections = list(script), [], 0
+        self.listener = gevent.socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(8)
+        self.place = self.listener.getsockname()
+        self.running = gevent.spawn(self.run)
+
+    def run(self) -> None:
+        while True:
+            sock, _ = self.listener.accept()
+            self.connections += 1
+            gevent.spawn(self.serve, sock)
+
+    def serve(self, sock: gevent.socket.socket) -> None:
+        while data := sock.recv(65536):
+            self.heard.append(data.decode())
+            piece = self.script.pop(0) if self.script else b""
+            if piece is None:
+                gevent.sleep(5.0)
+            elif not piece:
+                break
+            else:
+                sock.sendall(piece)
+        sock.close()
+
+
+def chunked(*lines: str, status: str = "200 OK", last: bool = True) -> bytes:
+    told = "".join(f"{len(line) + 1:x}\r\n{line}\n\r\n" for line in lines)
+    return f"HTTP/1.1 {status}\r\nTransfer-Encoding: chunked\r\n\r\n{told}{'0' if last else ''}".encode() + (
+        b"\r\n\r\n" if last else b"")
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,141 @@
+"""The clients' side of the sockets."""
+from __future__ import annotations
+
+import gevent
+import gevent.socket
+from helper import Client, post
+
+
+def test_requests_on_a_kept_connection() -> None:
+    client = Client()
+    client.say(post("/look/7", b"abc", X_Weight_Hint="1500", X_Facts="slots=2,odd,more=x"))
+    client.calls[0].answer(200, b"seven")
+    client.hear()
+    client.say(post("/pay/8?x=1", X_Time_Left_Ms=""))
+    client.calls[1].answer(503, b"", "Retry-After: 2")
+    client.hear()
+    client.say(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+    client.hear()
+    client.matches("client_kept")
+
+
+def test_pipelined_requests_are_answered_in_order() -> None:
+    client = Client()
+    last = post("/look/3", b"x", "Connection: close")
+    client.say(post("/look/1") + post("/look/2") + last + post("/look/4"))
+    for call in reversed(client.calls):
+        call.answer(200, call.message.target)
+    client.hear()
+    client.hear()
+    client.matches("client_pipelined")
+
+
+def test_a_flood_of_pipelined_requests_waits_its_turn() -> None:
+    client = Client(pipelined=2, ring=256)
+    client.say(b"".join(post(f"/look/{i}") for i in range(6)))
+    taken = len(client.calls)
+    while len(client.calls) < 6 or any(call.reply is None for call in client.calls):
+        for call in client.calls:
+            call.answer(200)
+        gevent.sleep(0.01)
+    assert taken <= 3       # two, and what came in the same piece
+
+
+def test_a_client_that_closes_has_left() -> None:
+    client = Client()
+    client.say(post("/look/1"), post("/look/2"))
+    client.sock.close()
+    client.running.join(2.0)
+    client.calls[0].answer(200, b"late")
+    client.matches("client_left")
+
+
+WRONG = {
+    "nonsense": [b"\x16\x03\x01 hello\r\n\r\n"],
+    "no_class": [post("/swim/7")],
+    "get": [post("/look/7").replace(b"POST", b"GET")],
+    "no_id": [post(X_Correlation_Id="")],
+    "time_left": [post(X_Time_Left_Ms="soon")],
+    "time_nan": [post(X_Time_Left_Ms="nan")],
+    "hint": [post(X_Weight_Hint="-1")],
+    "long_body": [post(body=b"x" * 70000)],
+    "long_chunk": [post("/look/7", b"", Content_Length="", Transfer_Encoding="chunked")
+                   + b"11170\r\n" + b"x" * 70000],
+    "long_target": [post("/look/" + "7" * 9000)],
+    "long_field": [post(X_Facts="x" * 20000)],
+    "endless_field": [b"POST /look/7 HTTP/1.1\r\nX-Facts: ", *[b"x" * 8000] * 4],
+    "many_fields": [post("/look/7", b"x", *(f"x-{i}: 1" for i in range(70)))],
+    "two_lengths": [post("/look/7", b"x", "Transfer-Encoding: chunked")],
+    "upgrade": [post("/look/7", b"x", "Connection: upgrade", "Upgrade: websocket")],
+    "slow": [post()[:40]],
+}
+
+
+def test_what_is_wrong_gets_its_status_and_harms_nobody_else() -> None:
+    """What is no request ends its connection; a request that asks for something odd does not."""
+    trace = Client()
+    for name, parts in WRONG.items():
+        client = Client(request=0.1, linger=0.05)
+        client.say(*parts)
+        gevent.sleep(0.12 if name == "slow" else 0.0)
+        client.hear()
+        client.sock.shutdown(gevent.socket.SHUT_WR)
+        client.running.join(2.0)
+        assert client.running.successful()
+        trace.lines += [f"{name}: {line}" for line in client.lines]
+    trace.matches("client_wrong")
+
+
+def test_leave_to_send_a_body_is_given() -> None:
+    client = Client()
+    head, body = post("/look/7", b"abc", "Expect: 100-continue").split(b"\r\n\r\n")
+    client.say(head + b"\r\n\r\n")
+    client.hear()
+    client.say(body)
+    client.calls[0].answer(200, b"seven")
+    client.hear()
+    client.matches("client_expects")
+
+
+def test_no_room_defers_at_once_and_the_connection_stays() -> None:
+    client = Client(room=0)
+    client.say(post())
+    client.hear()
+    client.say(post())
+    client.hear()
+    client.matches("client_no_room")
+
+
+def test_at_the_brim_a_client_is_deferred_and_its_connection_ends() -> None:
+    client = Client(refuse=True, linger=0.05)
+    client.say(post())
+    client.hear()
+    client.hear()
+    client.running.join(2.0)
+    client.matches("client_brim")
+
+
+def test_while_closing_requests_are_taken_and_the_connection_ends_after_the_answer() -> None:
+    """The reader still waits on the socket when the writer ends it: neither may trip over the other."""
+    client = Client(linger=0.05)
+    client.closing = True
+    client.say(b"GET /-/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+    client.hear()
+    client.running.join(2.0)
+    assert client.running.successful()
+    client.matches("client_closing")
+
+
+def test_one_that_does_not_read_its_answer_is_closed() -> None:
+    client = Client(write=0.1)
+    client.say(post())
+    client.calls[0].answer(200, b"x" * 10_000_000)
+    client.running.join(2.0)
+    assert client.running.successful()
+
+
+def test_an_idle_connection_is_closed() -> None:
+    client = Client(idle_client=0.05)
+    client.running.join(2.0)
+    client.hear()
+    client.matches("client_idle")
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,145 @@
+"""The whole scheduler on loopback, with stand-ins for a worker and for discovery."""
+from __future__ import annotations
+
+import json
+import time
+
+import gevent
+import gevent.socket
+from helper import SETTINGS, Stand, chunked, post
+from test_discovery import entry, told
+
+from opalwick.program.configuration import BadConfiguration, read
+from opalwick.program.scheduler import Scheduler
+
+DONE = chunked('{"id":"c1","state":"started"}', '{"id":"c1","state":"done","result":"7"}')
+
+
+def configuration(tmp_path, worker: Stand | None = None, there: Stand | None = None, **changes):
+    known = [entry("a", dial="%s:%d" % worker.place, site="east")] if worker else []
+    given = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "%s:%d" % (there or Stand()).place,
+             "seed": "7f", "limits": {"memory_mb": 192, "sockets": 256},
+             "peers": ["127.0.0.1:1", "127.0.0.1:2"], "peer_listen": "127.0.0.1:0", "settings": SETTINGS,
+             "known": {"seq": 41, "whole": True, "hosts": known}} | changes
+    path = tmp_path / "configuration.json"
+    path.write_text(json.dumps({key: value for key, value in given.items() if value is not None}))
+    return read({"BALANCER_CONFIG": str(path)})
+
+
+class Served:
+    def __init__(self, tmp_path, *script: bytes | None, **changes) -> None:
+        self.worker, self.discovery = Stand(*script), Stand(told(41), None)
+        self.scheduler = Scheduler(configuration(tmp_path, self.worker, self.discovery, **changes))
+        self.running = gevent.spawn(self.scheduler.run)
+        gevent.sleep(0.02)
+
+    def ask(self, data: bytes) -> gevent.socket.socket:
+        sock = gevent.socket.create_connection(self.scheduler.place, 2.0)
+        sock.sendall(data)
+        gevent.sleep(0.02)
+        return sock
+
+    def stop(self) -> None:
+        self.scheduler.stop.set()
+        self.running.join(5.0)
+        assert self.running.successful()
+
+
+def first(sock: gevent.socket.socket) -> str:
+    lines = sock.recv(65536).decode().split("\r\n")
+    return " | ".join([lines[0], *(line for line in lines[1:] if line and not line.startswith("Content-"))])
+
+
+def test_a_work_item_goes_through(tmp_path) -> None:
+    served = Served(tmp_path, DONE)
+    assert first(served.ask(post())) == "HTTP/1.1 200 OK | 7"
+    assert (served.scheduler.open, served.scheduler.bodies, served.scheduler.out) == (0, 0, {})
+    served.stop()
+
+
+def test_after_sigterm_what_still_comes_is_taken_and_all_is_finished(tmp_path) -> None:
+    served = Served(tmp_path, chunked('{"id":"c1","state":"started"}', last=False)[:-1], DONE)
+    waits = served.ask(post(X_Time_Left_Ms="1200"))
+    idle = served.ask(b"")
+    served.scheduler.stop.set()
+    gevent.sleep(0.05)
+    trace = [first(served.ask(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")), first(served.ask(post()))]
+    gevent.sleep(0.6)
+    trace += [f"idle {idle.recv(9)}", f"running {served.running.ready()}", first(waits)]
+    served.running.join(3.0)
+    assert served.running.successful()
+    assert trace == ["HTTP/1.1 503 Service Unavailable | Connection: close",
+                     "HTTP/1.1 200 OK | Connection: close | 7", "idle b''", "running False",
+                     "HTTP/1.1 503 Service Unavailable | Retry-After: 2 | Connection: close"]
+
+
+def test_an_input_that_fails_ends_neither_the_scheduler_nor_the_rest(tmp_path) -> None:
+    served = Served(tmp_path, DONE)
+    served.scheduler.put("nonsense")
+    assert first(served.ask(post())) == "HTTP/1.1 200 OK | 7"
+    served.stop()
+
+
+def test_at_the_brim_idle_clients_make_room_and_busy_ones_do_not(tmp_path) -> None:
+    served = Served(tmp_path, None, None, limits={"sockets": 40})
+    most = served.scheduler.limits.clients
+    idle = [served.ask(b"") for _ in range(most)]
+    busy = [served.ask(post()[:40]) for _ in range(most)]
+    assert [sock.recv(9) for sock in idle] == [b""] * most
+    assert first(served.ask(post())).startswith("HTTP/1.1 503 Service Unavailable | Retry-After: 1")
+    for sock in busy:
+        sock.close()
+    served.stop()
+
+
+class Early:
+    """An event whose time-outs come too early."""
+
+    def clear(self) -> None:
+        pass
+
+    def wait(self, left: float) -> None:
+        gevent.sleep(0.5 * left)
+
+
+def test_a_timer_that_fires_early_is_not_lost(tmp_path) -> None:
+    """The module passes over a wake before its time and asks for no other."""
+    served = Served(tmp_path, None)
+    woken = []
+    served.scheduler.put = lambda kind, *fields: woken.append(time.monotonic())
+    at = time.monotonic() + 0.1
+    served.scheduler.wake_at = at
+    rearmed, served.scheduler.rearmed = served.scheduler.rearmed, Early()
+    rearmed.set()
+    gevent.sleep(0.3)
+    assert woken and woken[0] >= at
+    served.stop()
+
+
+def test_faulty_keys_are_named(tmp_path) -> None:
+    odd = {"name": 7, "listen": "here", "discovery": "127.0.0.1:0", "seed": "xyz", "peers": ["a:1", "b"],
+           "peer_listen": 5, "limits": {"sockets": "many"}, "settings": None, "known": []}
+    said = []
+    for key, value in odd.items():
+        try:
+            configuration(tmp_path, **{key: value})
+        except BadConfiguration as problem:
+            said.append(str(problem))
+    for path, value in {"ceilings": {}, "categories": [{"name": "x"}], "discovery": "rumour"}.items():
+        try:
+            configuration(tmp_path, settings=SETTINGS | {path: value})
+        except BadConfiguration as problem:
+            said.append(str(problem))
+    try:
+        read({})
+    except BadConfiguration as problem:
+        said.append(str(problem))
+    assert said == [
+        "name is malformed: 7 is not str", "listen is malformed: not an address: 'here'",
+        "discovery is malformed: not an address: '127.0.0.1:0'",
+        "seed is malformed: 'xyz' is not hexadecimal", "peers.1 is malformed: not an address: 'b'",
+        "peer_listen is malformed: not an address: 5",
+        "limits.sockets is malformed: 'many' is not a number of 1 or more", "settings is missing",
+        "known is malformed: [] is not dict", "settings: start value ceilings.max-hand-offs is missing",
+        "settings: start value categories.0.expiry-us is missing",
+        "settings: start value discovery is malformed: 'rumour'", "BALANCER_CONFIG is missing"]
