--- a/opalwick/program/scheduler.py
+++ b/opalwick/program/scheduler.py
@@ -33,6 +33,7 @@
         self.out: dict[tuple[Call, int], HandingOff] = {}
         self.bodies = self.open = 0             # bytes, work items: unanswered
         self.closing, self.started = False, False
+        self.place = c.listen
         self.wake_at, self.rearmed = now, Event()
         self.peers = {place: i for i, place in enumerate(c.peers)}
         self.datagrams = Datagrams(c.peer_listen) if c.peer_listen and c.terms.may_tell else None
@@ -53,6 +54,8 @@
                 self.perform(effect)
         except Exception:  # noqa: BLE001 - one work item's trouble must not end the others'
             logger.exception("input {} failed", kind)
+            # the wake that was still to be asked for may be among what is lost
+            self.perform(Timer(time.monotonic() + 0.1))
 
     def perform(self, effect: Any) -> None:
         match effect:
@@ -90,7 +93,7 @@
         """The one timer."""
         while True:
             self.rearmed.clear()
-            rearmed = self.rearmed.wait(max(0.0, self.wake_at - time.monotonic()))
+            rearmed = self.rearmed.wait(min(60.0, max(0.0, self.wake_at - time.monotonic())))
             # the event loop's clock may run a little ahead: a wake that came early would be passed over by
             # the module, and none would follow
             if rearmed or time.monotonic() < self.wake_at:
--- a/opalwick/transport/limits.py
+++ b/opalwick/transport/limits.py
@@ -32,7 +32,8 @@
     closing: float          # new requests are taken so long after SIGTERM
 
 
-def within(sockets: int, memory_mb: float, max_open: int, conn_idle: float, connect: float) -> Limits:
+def within(sockets: int, memory_mb: float, max_open: int, conn_idle: float, connect: float,
+           ask_every: float) -> Limits:
     """Budgets by use, out of what the machine gives."""
     # files, discovery, datagrams, the listener and what the event loop holds
     room = max(16, sockets - 32)
@@ -51,8 +52,9 @@
         request=5.0, idle_client=75.0, write=5.0, linger=1.0,
         # clearly before the worker closes it: a request that crosses the close may have run
         idle_worker=max(0.5 * conn_idle, conn_idle - 3.0), connect=connect,
-        # discovery serves calls in turn, so few long ones; what it tells counts as told 2 s after the wait
-        watch=20.0, silent=1.5,
+        # discovery serves calls in turn, so few long ones: as seldom as a scheduler that does not watch must
+        # ask. What a silent one had to tell counts as told 2 s after the wait: by then it is asked anew
+        watch=max(1.0, min(ask_every, 60.0)), silent=1.0,
         # what such a call has to tell counts as told after six
         queued=5.0,
         # connections come for up to 0.4 s after SIGTERM
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -153,7 +153,7 @@
 
 
 def limits(**changes) -> Limits:
-    return replace(within(256, 192, 1000, 10.0, 0.25), **changes)
+    return replace(within(256, 192, 1000, 10.0, 0.25, 20.0), **changes)
 
 
 class Desk(Traced):
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -2,6 +2,9 @@
 from __future__ import annotations
 
 import json
+import signal
+import subprocess
+import sys
 import time
 
 import gevent
@@ -143,3 +146,30 @@
         "known is malformed: [] is not dict", "settings: start value ceilings.max-hand-offs is missing",
         "settings: start value categories.0.expiry-us is missing",
         "settings: start value discovery is malformed: 'rumour'", "BALANCER_CONFIG is missing"]
+
+
+def test_the_program_serves_and_leaves_on_sigterm(tmp_path) -> None:
+    there, path = Stand(told(41), None), tmp_path / "configuration.json"
+    listen = gevent.socket.socket()
+    listen.bind(("127.0.0.1", 0))
+    place = listen.getsockname()
+    listen.close()
+    configuration(tmp_path, None, there, listen="%s:%d" % place)
+    running = subprocess.Popen([sys.executable, "-m", "opalwick", "serve", str(path)])
+    sock = None
+    for _ in range(200):
+        gevent.sleep(0.05)
+        try:
+            sock = gevent.socket.create_connection(place)
+            break
+        except OSError:
+            continue
+    assert sock is not None
+    sock.sendall(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert first(sock) == "HTTP/1.1 200 OK"
+    running.send_signal(signal.SIGTERM)
+    for _ in range(60):
+        gevent.sleep(0.05)
+        if running.poll() is not None:
+            break
+    assert running.wait(1.0) == 0
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -159,3 +159,18 @@
     errand.lines.append(errand.closes())
     busy.join()
     assert errand.lines == ["FINISHED (3.0, 1.5) b'7'", "NOT_SENT", "1 connections, 1 open", "TIMED_OUT"]
+
+
+def test_a_connection_that_never_comes_up_never_ran() -> None:
+    """A machine that is cut off says nothing: the settings' time for a connection ends it."""
+    errand = Errand(connect=0.1)
+    errand.stand.running.kill()
+    errand.stand.listener.listen(0)             # nobody accepts, and the backlog is full
+    full = [gevent.socket.socket() for _ in range(2)]
+    for sock in full:
+        sock.settimeout(0.05)
+        sock.connect_ex(errand.place)
+    errand.go()
+    errand.go(within=0.05)
+    errand.lines.append(errand.closes())
+    assert errand.lines == ["NO_CONNECTION", "NOT_SENT", "0 connections, 0 open"]
