What SIGKILL would find is answered before; a flood lets others in between

- after SIGTERM no item's expiry lies past the moment at which the process may be killed: unanswered ones would be lost.
Set after the module has taken an item, else it would count as a client's repeat and as late.
- a connection that always has more to read never yielded to the others.
- where cancelling is not allowed, a hand-off whose connection was coming up went out after the final answer.
- a standing greenlet that fails starts again; a socket that fails as it is accepted does not end accepting.

--- a/opalwick/program/configuration.py
+++ b/opalwick/program/configuration.py
@@ -88,7 +88,8 @@
             # what a small machine gives
             int(_number(limits, "sockets", 1024, 1)), _number(limits, "memory_mb", 192, 1),
             int(values.number("ceilings.max-open", 20000)), values.seconds("ceilings.conn-idle-us", 10.0),
-            values.seconds("ceilings.connect-timeout-us", 0.25), terms.ask_every)
+            values.seconds("ceilings.connect-timeout-us", 0.25), terms.ask_every,
+            max((c.expiry for c in terms.categories), default=0.0))
     except BadStart as problem:
         raise BadConfiguration(f"settings: {problem}") from None
     return Configuration(
--- a/opalwick/program/scheduler.py
+++ b/opalwick/program/scheduler.py
@@ -1,8 +1,8 @@
 """The running scheduler: feeds the reducer and carries out its effects."""
 from __future__ import annotations
 
-import errno
 import time
+from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -34,6 +34,9 @@
         self.bodies = self.open = 0             # bytes, work items: unanswered
         self.closing, self.started = False, False
         self.place = c.listen
+        # when the door itself defers: a second, in which a crowd passes, or as long as clients honour
+        back = min(1.0, c.terms.retry_after)
+        self.advice: tuple[str, ...] = (f"Retry-After: {back:g}",) if back > 0 else ()
         self.wake_at, self.rearmed = now, Event()
         self.peers = {place: i for i, place in enumerate(c.peers)}
         self.datagrams = Datagrams(c.peer_listen) if c.peer_listen and c.terms.may_tell else None
@@ -68,7 +71,8 @@
                     self.put(kind, call, number, *fields)
 
                 handing = self.out[call, number] = HandingOff(
-                    place, call.message, until, self.pool, self.limits, self.names.figures, tell)
+                    place, call.message, until, lambda: call.taken and call.reply is None, self.pool,
+                    self.limits, self.names.figures, tell)
                 gevent.spawn(handing.run)
             case Close(call, number):
                 if (call, number) in self.out:
@@ -136,10 +140,8 @@
             while len(self.conversations) >= self.limits.clients + self.limits.spare and not self.shed():
                 gevent.sleep(0.01)
             try:
-                sock, _ = listener.accept()
-            except OSError as problem:
-                if problem.errno in (errno.EBADF, errno.EINVAL):
-                    return                      # the listener was closed
+                connection = Connection(listener.accept()[0], self.limits.ring)
+            except OSError:
                 # no descriptor left: an idle connection makes room, and the client waits in the backlog
                 if not self.pool.shed():
                     self.shed()
@@ -147,7 +149,7 @@
                 continue
             if len(self.conversations) >= self.limits.clients:
                 self.shed()
-            conversation = Conversation(Connection(sock, self.limits.ring), self.limits, self.names, self,
+            conversation = Conversation(connection, self.limits, self.names, self,
                                         len(self.conversations) >= self.limits.clients)
             self.conversations[conversation] = None
             gevent.spawn(self.converse, conversation)
@@ -172,6 +174,16 @@
             gevent.sleep(0.25 * self.limits.idle_worker)
             self.pool.sweep()
 
+    @staticmethod
+    def forever(work: Callable[..., None], *fields: Any) -> None:
+        """A fault in one of the standing greenlets must not leave the scheduler without it."""
+        while True:
+            try:
+                work(*fields)
+            except Exception:  # noqa: BLE001
+                logger.exception("{} failed", work.__name__)
+                gevent.sleep(0.1)
+
     def run(self) -> None:
         """Until it was told to close and all is answered."""
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -181,15 +193,16 @@
         listener.listen(min(self.limits.clients, 1024))
         self.put("listed", ListForm.CACHED, self.known)
         for work in (self.keep_time, self.sweep):
-            gevent.spawn(work)
+            gevent.spawn(self.forever, work)
         if self.datagrams is not None:
-            gevent.spawn(self.datagrams.receive, self.heard)
-        accepting = gevent.spawn(self.accept, listener)
+            gevent.spawn(self.forever, self.datagrams.receive, self.heard)
+        accepting = gevent.spawn(self.forever, self.accept, listener)
         self.started = True
         logger.info("{} serves on {}:{}", self.configuration.name, *self.configuration.listen)
         self.stop.wait()
         logger.info("{} is to end; {} work items unanswered", self.configuration.name, self.open)
         self.closing = True
+        self.put("closing", time.monotonic() + self.limits.leave)
         gevent.sleep(self.limits.closing)
         accepting.kill()
         listener.close()
--- a/opalwick/protocol/clients.py
+++ b/opalwick/protocol/clients.py
@@ -36,6 +36,7 @@
 class Takes(Protocol):
     """What the scheduler does for the clients' side; nothing of it waits."""
     closing: bool       # it is to end: connections are closed as soon as nothing is owed on them
+    advice: tuple[str, ...]     # fields that tell when to come back
 
     def ready(self) -> bool: ...
 
@@ -191,7 +192,7 @@
         except Malformed as problem:
             return call.answer(problem.status, problem.text.encode())
         if self.refuse or not self.scheduler.room_for(len(message.body)):
-            return call.answer(503, b"", "Retry-After: 1")
+            return call.answer(503, b"", *self.scheduler.advice)
         call.taken = True
         self.scheduler.take(call, *fields)
 
--- a/opalwick/protocol/workers.py
+++ b/opalwick/protocol/workers.py
@@ -75,12 +75,12 @@
 
 class HandingOff:
     """One hand-off on its way; `tell` gets the reducer's inputs of it."""
-    __slots__ = ("address", "id", "data", "until", "pool", "limits", "names", "tell", "connection", "answer",
-                 "given_up")
+    __slots__ = ("address", "id", "data", "until", "wanted", "pool", "limits", "names", "tell", "connection",
+                 "answer", "given_up")
 
-    def __init__(self, address: Address, message: Message, until: float, pool: Pool, limits: Limits,
-                 names: Sequence[str], tell: Callable[..., None]) -> None:
-        self.address, self.until = address, until
+    def __init__(self, address: Address, message: Message, until: float, wanted: Callable[[], bool], pool: Pool,
+                 limits: Limits, names: Sequence[str], tell: Callable[..., None]) -> None:
+        self.address, self.until, self.wanted = address, until, wanted
         self.id = message.headers[b"x-correlation-id"].decode("latin-1")
         self.data = request(message, "%s:%d" % address, until - time.monotonic())
         self.pool, self.limits, self.names, self.tell = pool, limits, names, tell
@@ -93,8 +93,11 @@
         if self.connection is not None:
             self.connection.close()
 
+    def over(self) -> bool:
+        return self.given_up or time.monotonic() >= self.until or not self.wanted()
+
     def run(self) -> None:
-        if self.given_up or time.monotonic() >= self.until:
+        if self.over():
             self.tell("ended", Outcome.NOT_SENT)
             return
         try:
@@ -119,13 +122,15 @@
             if not connection.used:
                 connection.used = 1
                 connection.connect(self.address, min(self.limits.connect, self.until - time.monotonic()))
+                # answered while it came up, where nothing may be cancelled: nothing is sent any more
+                if self.over():
+                    raise ConnectionAbortedError
             connection.write(self.data, self.until - time.monotonic())
             self.data = b""
             return None
         except OSError:
             connection.close()
-            over = self.given_up or time.monotonic() >= self.until
-            return Outcome.NOT_SENT if over else Outcome.NO_CONNECTION
+            return Outcome.NOT_SENT if self.over() else Outcome.NO_CONNECTION
 
     def listen(self, connection: Connection) -> End:
         answer = self.answer
--- a/opalwick/routing/reducer.py
+++ b/opalwick/routing/reducer.py
@@ -4,6 +4,7 @@
 """
 from __future__ import annotations
 
+import math
 from collections.abc import Hashable, Iterator, Sequence
 from typing import Any, NamedTuple
 
@@ -66,6 +67,7 @@
         self.places: dict[Worker, Any] = {}
         self.shorts: dict[int, Worker | None] = {}  # by folded id; None: two workers share it
         self.finished: list[Finish] = []
+        self.leave_at = math.inf                    # by then all must be answered
 
     def reduce(self, now: float, kind: str, *fields: Any) -> Iterator[Effect]:
         """Takes in one input, named as its method below; gives the effects, to be carried out in order."""
@@ -93,6 +95,7 @@
               taken_at: float, expiry_at: float, hint: float, slots: float) -> None:
         wi = self.items[key] = WorkItem(key, category, customer, subject, taken_at, expiry_at, hint, slots)
         self.balancer.taken(wi)
+        self._leave(wi)
 
     def left(self, key: Hashable) -> None:
         if wi := self.items.get(key):
@@ -133,6 +136,12 @@
             else:
                 self.balancer.summed(*word[1])
 
+    def closing(self, leave_at: float) -> None:
+        """The process will be killed: what is unanswered then would be lost, so no item expires later."""
+        self.leave_at = leave_at
+        for wi in self.items.values():
+            self._leave(wi)
+
     def woken(self) -> None:
         """The time has moved on, which is all there is to it."""
 
@@ -166,6 +175,12 @@
         wi = self.items.get(key)
         return wi.hand_offs[number] if wi is not None and number < len(wi.hand_offs) else None
 
+    def _leave(self, wi: WorkItem) -> None:
+        # after the module has taken it: with less time left it would count as a client's repeat, and as late
+        if self.leave_at < wi.expiry_at:
+            wi.expiry_at = self.leave_at
+            self.balancer.at(self.leave_at, wi)
+
     def _forget(self, wi: WorkItem) -> None:
         if wi.answered and all(ho.ended for ho in wi.hand_offs):
             self.items.pop(wi.id, None)
--- a/opalwick/transport/connection.py
+++ b/opalwick/transport/connection.py
@@ -5,6 +5,7 @@
 from select import POLLIN, poll
 from typing import Any
 
+import gevent
 from gevent import socket
 
 from opalwick.transport.ring import Ring
@@ -30,6 +31,8 @@
         What is returned stays in the ring until the next call.
         """
         ring = self.inward
+        if ring.size == len(ring.view):
+            gevent.sleep(0)                     # more is waiting: one that floods lets the others in between
         ring.drop(ring.size)
         if within is not None and within <= 0:
             raise TimeoutError
--- a/opalwick/transport/datagrams.py
+++ b/opalwick/transport/datagrams.py
@@ -3,11 +3,13 @@
 
 from collections.abc import Callable
 
+import gevent
 from gevent import socket
 
 from opalwick.transport.connection import Address
 
 LONGEST = 256   # bytes
+AT_ONCE = 32    # some words from each of a few peers
 
 
 class Datagrams:
@@ -26,11 +28,10 @@
         """Runs in a greenlet of its own."""
         while True:
             socket.wait_read(self.sock.fileno())
-            while True:
+            for _ in range(AT_ONCE):
                 try:
                     octets, sender = self.sock.recvfrom(LONGEST + 1)
-                except BlockingIOError:
+                except OSError:                 # none left; or an unreachable peer, told on the next call
                     break
-                except OSError:                 # an unreachable peer, told on the next call
-                    continue
                 heard(sender, octets)
+            gevent.sleep(0)                     # one that floods must let the others in between
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -153,7 +153,7 @@
 
 
 def limits(**changes) -> Limits:
-    return replace(within(256, 192, 1000, 10.0, 0.25, 20.0), **changes)
+    return replace(within(256, 192, 1000, 10.0, 0.25, 20.0, 5.0), **changes)
 
 
 class Desk(Traced):
@@ -187,11 +187,11 @@
     def __init__(self, room: int = 8, refuse: bool = False, **changes) -> None:
         self.lines: list[str] = []
         self.calls: list[Call] = []
-        self.closing, self.room = False, room
+        self.closing, self.room, self.advice = False, room, ("Retry-After: 1",)
         terms = read_terms(settings())
         self.sock, there = gevent.socket.socketpair()
         self.sock.settimeout(2.0)
-        there = _Plain(there)
+        there = Plain(there)
         kept = limits(**changes)
         self.conversation = Conversation(Connection(there, kept.ring), kept, read_names(settings(), terms),
                                          self, refuse)
@@ -241,7 +241,7 @@
                        ).encode() + body
 
 
-class _Plain:
+class Plain:
     """A socket of a pair, which takes no TCP options."""
 
     def __init__(self, sock: gevent.socket.socket) -> None:
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -73,3 +73,18 @@
     for odd in (b"", b"\x00", b"\x01\xff\xff\xff\xff\xff\x00\x00", b"\x07" * 40, b"\x00" * 7):
         desk.put("heard", 1, odd, note=f"{len(odd)} odd bytes")
     desk.matches("reducer_words")
+
+
+def test_what_comes_while_it_leaves_is_sent_and_all_is_answered_in_time() -> None:
+    desk = Desk()
+    desk.take("a")
+    desk.put("began", "a", 0)
+    desk.now += 0.2
+    desk.put("closing", desk.now + 2.0)
+    desk.take("b")
+    desk.put("began", "b", 0)
+    desk.now += 1.0
+    desk.put("woken")
+    desk.now += 0.991
+    desk.put("woken")
+    desk.matches("reducer_closing")
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+from dataclasses import replace
 
 import gevent
 import gevent.socket
@@ -76,6 +77,19 @@
                      "HTTP/1.1 503 Service Unavailable | Retry-After: 2 | Connection: close"]
 
 
+def test_what_cannot_be_finished_is_answered_before_the_process_is_killed(tmp_path) -> None:
+    served = Served(tmp_path, None)
+    served.scheduler.limits = replace(served.scheduler.limits, leave=0.8)
+    waits = served.ask(post("/pay/1", X_Time_Left_Ms="4000"))
+    served.scheduler.stop.set()
+    gevent.sleep(0.7)
+    began = served.running.ready()
+    assert (began, first(waits)) == (False, "HTTP/1.1 504 Gateway Timeout | Connection: close")
+    waits.close()
+    served.running.join(0.3)
+    assert served.running.successful()
+
+
 def test_an_input_that_fails_ends_neither_the_scheduler_nor_the_rest(tmp_path) -> None:
     served = Served(tmp_path, DONE)
     served.scheduler.put("nonsense")
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -9,6 +9,7 @@
 
 from opalwick.protocol.http import Message
 from opalwick.protocol.workers import HandingOff
+from opalwick.transport.connection import Connection
 from opalwick.transport.pool import Pool
 
 
@@ -16,7 +17,7 @@
     """Hand-offs to one stand-in."""
 
     def __init__(self, *script: bytes | None, place: tuple[str, int] | None = None, **changes) -> None:
-        self.limits = limits(**changes)
+        self.limits, self.wanted = limits(**changes), True
         self.stand, self.lines = Stand(*script), []
         self.place = place or self.stand.place
         self.pool = Pool(self.limits.workers, self.limits.idle_worker, self.limits.ring)
@@ -25,8 +26,9 @@
         message = Message(0.0)
         message.method, message.target, message.body = b"POST", b"/look/7?x=1", body
         message.headers = {b"x-correlation-id": b"c1", b"idempotency-key": b"k"}
-        handing = HandingOff(self.place, message, time.monotonic() + within, self.pool, self.limits,
-                             ["x0", "active"], lambda *told: self.lines.append(self.line(*told)))
+        handing = HandingOff(self.place, message, time.monotonic() + within, lambda: self.wanted,
+                             self.pool, self.limits, ["x0", "active"],
+                             lambda *told: self.lines.append(self.line(*told)))
         if give_up == 0:
             handing.give_up()
         running = gevent.spawn(handing.run)
@@ -174,3 +176,19 @@
     errand.go(within=0.05)
     errand.lines.append(errand.closes())
     assert errand.lines == ["NO_CONNECTION", "NOT_SENT", "0 connections, 0 open"]
+
+
+def test_nothing_is_sent_for_a_work_item_that_was_answered_while_its_connection_came_up() -> None:
+    """Where hand-offs may not be cancelled, one that is not yet sent would go out after the final answer."""
+    errand = Errand(chunked(DONE))
+    errand.wanted = False
+    errand.go()
+    errand.wanted = True
+    connect = Connection.connect
+    try:
+        Connection.connect = lambda *there: (connect(*there), setattr(errand, "wanted", False))
+        errand.go()
+    finally:
+        Connection.connect = connect
+    assert [*errand.lines, *errand.stand.heard, errand.closes()] == ["NOT_SENT", "NOT_SENT",
+                                                                     "1 connections, 0 open"]
