--- a/opalwick/drill/host.py
+++ b/opalwick/drill/host.py
@@ -8,8 +8,7 @@
 from opalwick.drill.codec import BadFrame, Reply, records
 from opalwick.interface import ListForm, Outcome
 from opalwick.protocol.settings import read_terms
-from opalwick.routing.reducer import (Close, Datagram, Dispatch, Effect, Fail, Finish, Reducer, Refuse, Timer,
-                                       Watch)
+from opalwick.routing.reducer import Answer, Close, Datagram, Effect, Final, Reducer, Send, Timer, Watch
 
 _MICRO = 1e-6
 
@@ -75,14 +74,14 @@
 def write(effects: Iterator[Effect], clock: int, reply: Reply) -> None:
     for effect in effects:
         match effect:
-            case Dispatch(corr, copy, wid, _, give_up_after):
+            case Send(corr, copy, wid, _, give_up_after):
                 # rounded down: a time-out never reaches past the expiry
                 reply.add("dispatch", corr, wid, max(1, min(0xFFFFFFFF, int(give_up_after / _MICRO))))
             case Close(corr, copy):
                 reply.add("undo_send", corr, copy)
-            case Refuse(corr, come_back_in):
+            case Answer(corr, Final.DEFERRED, _, come_back_in):
                 reply.add("shed", corr, int(come_back_in / _MICRO))
-            case Fail(corr):
+            case Answer(corr, Final.WRITTEN_OFF):
                 reply.add("finish_error", corr)
             case Timer(at):
                 # rounded up and never now: a timer is not early and does not loop on itself
@@ -91,7 +90,7 @@
                 reply.add("tail", 1)
             case Datagram(to, octets):
                 reply.message(to, octets)
-            case Finish():                      # the simulator hands the first result on by itself
+            case Answer():                      # finished: the simulator hands the first result on by itself
                 pass
 
 
--- a/opalwick/program/scheduler.py
+++ b/opalwick/program/scheduler.py
@@ -15,7 +15,7 @@
 from opalwick.protocol.clients import Call, Conversation
 from opalwick.protocol.discovery import Discovery, rows
 from opalwick.protocol.workers import HandingOff
-from opalwick.routing.reducer import Close, Datagram, Dispatch, Fail, Finish, Reducer, Refuse, Timer, Watch
+from opalwick.routing.reducer import Answer, Close, Datagram, Final, Reducer, Send, Timer, Watch
 from opalwick.transport.connection import Address, Connection
 from opalwick.transport.datagrams import Datagrams
 from opalwick.transport.pool import Pool
@@ -62,7 +62,7 @@
 
     def perform(self, effect: Any) -> None:
         match effect:
-            case Dispatch(call, number, _, place, give_up_after):
+            case Send(call, number, _, place, give_up_after):
                 until = time.monotonic() + give_up_after
 
                 def tell(kind: str, *fields: Any) -> None:
@@ -77,11 +77,11 @@
             case Close(call, number):
                 if (call, number) in self.out:
                     self.out[call, number].give_up()
-            case Finish(call, result):
+            case Answer(call, Final.FINISHED, result):
                 call.answer(200, result, "Content-Type: application/octet-stream")
-            case Refuse(call, come_back_in):
+            case Answer(call, Final.DEFERRED, _, come_back_in):
                 call.answer(503, b"", *([f"Retry-After: {come_back_in:g}"] if come_back_in > 0 else []))
-            case Fail(call):
+            case Answer(call, Final.WRITTEN_OFF):
                 call.answer(504)
             case Timer(at):
                 if at < self.wake_at or self.wake_at <= time.monotonic():
--- a/opalwick/protocol/clients.py
+++ b/opalwick/protocol/clients.py
@@ -100,9 +100,9 @@
     """A client's connection."""
 
     def __init__(self, connection: Connection, limits: Limits, names: Names, scheduler: Takes,
-                 refuse: bool = False) -> None:
+                 full: bool = False) -> None:
         self.connection, self.limits, self.names, self.scheduler = connection, limits, names, scheduler
-        self.refuse = refuse                    # at the brim: one answer, then it goes
+        self.full = full                        # at the brim: one answer, then it goes
         self.owed: deque[Call] = deque()        # in the order asked
         self.changed = Event()                  # an answer is there, or reading is over
         self.written = Event()                  # an answer was written, or writing is over
@@ -183,7 +183,7 @@
         """Called by the parser; nothing here waits."""
         if self.last:                           # what follows a last request is not taken
             return
-        self.last = self.refuse or not message.keep_alive
+        self.last = self.full or not message.keep_alive
         call = self.owe(Call(message, self.last, self.changed))
         if message.target.split(b"?", 1)[0] == b"/-/ready":
             return call.answer(200 if self.scheduler.ready() else 503)
@@ -191,7 +191,7 @@
             fields = decode(message, self.names, self.parser.now)
         except Malformed as problem:
             return call.answer(problem.status, problem.text.encode())
-        if self.refuse or not self.scheduler.room_for(len(message.body)):
+        if self.full or not self.scheduler.room_for(len(message.body)):
             return call.answer(503, b"", *self.scheduler.advice)
         call.taken = True
         self.scheduler.take(call, *fields)
--- a/opalwick/protocol/http.py
+++ b/opalwick/protocol/http.py
@@ -56,7 +56,7 @@
         if self.problem is not None:
             raise self.problem
 
-    def refuse(self, status: int, text: str) -> None:
+    def wrong(self, status: int, text: str) -> None:
         self.problem = self.problem or Malformed(status, text)
         raise self.problem
 
@@ -69,21 +69,21 @@
     def on_url(self, part: bytes) -> None:
         self.message.target += part
         if len(self.message.target) > self.limits.head // 2:
-            self.refuse(414, "target too long")
+            self.wrong(414, "target too long")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.head += len(name) + len(value)
         if self.head > self.limits.head or len(self.message.headers) >= self.limits.headers:
-            self.refuse(431, "header fields too large")
+            self.wrong(431, "header fields too large")
         self.message.headers[name.lower()] = value
 
     def on_headers_complete(self) -> None:
         self.unread = 0
         length = self.message.headers.get(b"content-length", b"0")
         if length.isdigit() and int(length) > self.most:
-            self.refuse(413, "body too large")
+            self.wrong(413, "body too large")
         if self.parser.should_upgrade():        # httptools would leave the rest unread
-            self.refuse(400, "no other protocol is spoken here")
+            self.wrong(400, "no other protocol is spoken here")
         if self.expects is not None and self.message.headers.get(b"expect", b"").lower() == b"100-continue":
             self.expects()
 
@@ -91,7 +91,7 @@
         self.unread = 0
         self.held += len(part)
         if self.held > self.most:
-            self.refuse(413, "body too large")
+            self.wrong(413, "body too large")
         self.parts.append(part)
 
     def on_message_complete(self) -> None:
--- a/opalwick/protocol/workers.py
+++ b/opalwick/protocol/workers.py
@@ -61,7 +61,7 @@
             return
         *whole, self.line = (self.line + part).split(b"\n")
         if len(self.line) > 8 * self.limits.body:   # a result may be escaped, with six bytes for one
-            self.refuse(502, "a line too long")
+            self.wrong(502, "a line too long")
         self.lines += whole
 
     def ended(self, message: Message) -> None:
@@ -78,8 +78,8 @@
     __slots__ = ("address", "id", "data", "until", "wanted", "pool", "limits", "names", "tell", "connection",
                  "answer", "given_up")
 
-    def __init__(self, address: Address, message: Message, until: float, wanted: Callable[[], bool], pool: Pool,
-                 limits: Limits, names: Sequence[str], tell: Callable[..., None]) -> None:
+    def __init__(self, address: Address, message: Message, until: float, wanted: Callable[[], bool],
+                 pool: Pool, limits: Limits, names: Sequence[str], tell: Callable[..., None]) -> None:
         self.address, self.until, self.wanted = address, until, wanted
         self.id = message.headers[b"x-correlation-id"].decode("latin-1")
         self.data = request(message, "%s:%d" % address, until - time.monotonic())
--- a/opalwick/routing/reducer.py
+++ b/opalwick/routing/reducer.py
@@ -6,16 +6,24 @@
 
 import math
 from collections.abc import Hashable, Iterator, Sequence
+from enum import Enum
 from typing import Any, NamedTuple
 
+from opalwick import interface
 from opalwick.balance import Balancer
-from opalwick.interface import (Cancel, Category, Customer, Defer, HandOff, ListForm, Outcome, Phase, Send,
+from opalwick.interface import (Cancel, Category, Customer, Defer, HandOff, ListForm, Outcome, Phase,
                                 Subscribe, Sum, Tell, Terms, Wake, Worker, WorkItem, WriteOff)
 from opalwick.protocol.words import packed, short, unpacked
 
 
+class Final(Enum):
+    FINISHED = "finished"
+    DEFERRED = "deferred"
+    WRITTEN_OFF = "written off"
+
+
 # effects: what the front is asked to do
-class Dispatch(NamedTuple):
+class Send(NamedTuple):
     key: Any
     number: int
     worker: Any
@@ -28,18 +36,11 @@
     number: int
 
 
-class Finish(NamedTuple):
-    key: Any
-    result: Any
-
-
-class Refuse(NamedTuple):
-    key: Any
-    come_back_in: float
-
-
-class Fail(NamedTuple):
+class Answer(NamedTuple):
     key: Any
+    final: Final
+    result: Any = None
+    come_back_in: float = 0.0
 
 
 class Watch(NamedTuple):
@@ -55,7 +56,7 @@
     at: float
 
 
-Effect = Dispatch | Close | Finish | Refuse | Fail | Watch | Datagram | Timer
+Effect = Send | Close | Answer | Watch | Datagram | Timer
 
 
 class Reducer:
@@ -66,7 +67,7 @@
         self.names: dict[Worker, Hashable] = {}
         self.places: dict[Worker, Any] = {}
         self.shorts: dict[int, Worker | None] = {}  # by folded id; None: two workers share it
-        self.finished: list[Finish] = []
+        self.finished: list[Answer] = []
         self.leave_at = math.inf                    # by then all must be answered
 
     def reduce(self, now: float, kind: str, *fields: Any) -> Iterator[Effect]:
@@ -110,7 +111,7 @@
         if figures:
             self.balancer.reported(ho.worker, figures)
         if outcome is Outcome.FINISHED and not ho.wi.answered:
-            self.finished.append(Finish(key, result))
+            self.finished.append(Answer(key, Final.FINISHED, result))
             answered = True
         self.balancer.ended(ho, outcome, answered)
         self._forget(ho.wi)
@@ -152,17 +153,17 @@
         yield from finished
         for decision in self.balancer.decisions():
             match decision:
-                case Send(ho, give_up_after):
+                case interface.Send(ho, give_up_after):
                     w = ho.worker
-                    yield Dispatch(ho.wi.id, ho.number, self.names[w], self.places[w], give_up_after)
+                    yield Send(ho.wi.id, ho.number, self.names[w], self.places[w], give_up_after)
                 case Cancel(ho):
                     yield Close(ho.wi.id, ho.number)
                 case Defer(wi, come_back_in):
                     self._forget(wi)
-                    yield Refuse(wi.id, come_back_in)
+                    yield Answer(wi.id, Final.DEFERRED, None, come_back_in)
                 case WriteOff(wi):
                     self._forget(wi)
-                    yield Fail(wi.id)
+                    yield Answer(wi.id, Final.WRITTEN_OFF)
                 case Wake(at):
                     yield Timer(at)
                 case Subscribe():
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -14,7 +14,7 @@
                                 WriteOff)
 from opalwick.protocol.clients import Call, Conversation
 from opalwick.protocol.settings import flat, read_names, read_terms
-from opalwick.routing.reducer import Reducer
+from opalwick.routing.reducer import Answer, Effect as Asked, Reducer
 from opalwick.transport.connection import Connection
 from opalwick.transport.limits import Limits, within
 
@@ -174,17 +174,24 @@
 
     def put(self, kind: str, *fields, note: str = "") -> list:
         effects = list(self.reducer.reduce(self.now, kind, *fields))
-        said = [f"{type(effect).__name__.lower()} {' '.join(map(str, effect))}".strip() for effect in effects
-                if type(effect).__name__ != "Timer"]
+        said = [self.word(effect) for effect in effects if type(effect).__name__ != "Timer"]
         self.lines.append(f"{self.now - START:5.2f}  {note or ' '.join([kind, *map(str, fields)])}: "
                           f"{', '.join(said) or 'nothing'}")
         return effects
 
 
+    @staticmethod
+    def word(effect: Asked) -> str:
+        if isinstance(effect, Answer):
+            told = effect.result or (f"back in {effect.come_back_in:g} s" if effect.come_back_in else "")
+            return f"{effect.final.value} {effect.key} {told}".strip()
+        return f"{type(effect).__name__.lower()} {' '.join(map(str, effect))}".strip()
+
+
 class Client(Traced):
     """The other side of a client's connection, and a scheduler that only notes what it is asked."""
 
-    def __init__(self, room: int = 8, refuse: bool = False, **changes) -> None:
+    def __init__(self, room: int = 8, full: bool = False, **changes) -> None:
         self.lines: list[str] = []
         self.calls: list[Call] = []
         self.closing, self.room, self.advice = False, room, ("Retry-After: 1",)
@@ -194,7 +201,7 @@
         there = Plain(there)
         kept = limits(**changes)
         self.conversation = Conversation(Connection(there, kept.ring), kept, read_names(settings(), terms),
-                                         self, refuse)
+                                         self, full)
         self.running = gevent.spawn(self.conversation.run)
 
     def ready(self) -> bool:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -107,7 +107,7 @@
 
 
 def test_at_the_brim_a_client_is_deferred_and_its_connection_ends() -> None:
-    client = Client(refuse=True, linger=0.05)
+    client = Client(full=True, linger=0.05)
     client.say(post())
     client.hear()
     client.hear()
