--- a/opalwick/program/scheduler.py
+++ b/opalwick/program/scheduler.py
@@ -206,7 +206,8 @@
         gevent.sleep(self.limits.closing)
         accepting.kill()
         listener.close()
-        while self.conversations:
+        # a request that has not come whole is not taken, so what has not by then is left
+        while self.conversations and time.monotonic() < self.reducer.leave_at + self.limits.linger:
             # between requests a connection may be closed; the others are closed after their answer
             for conversation in [c for c in self.conversations if c.idle()]:
                 conversation.close()
--- a/opalwick/protocol/clients.py
+++ b/opalwick/protocol/clients.py
@@ -114,6 +114,9 @@
         """Between requests: it may be closed."""
         return not self.owed and not self.parser.begun and not self.connection.readable()
 
+    def bored_at(self) -> float:
+        return self.connection.idle_since + self.limits.idle_client
+
     def close(self) -> None:
         self.over = True
         self.connection.close()                 # whoever waits on it finds out
@@ -145,11 +148,10 @@
             try:
                 data = self.connection.read(self.patience())
             except TimeoutError:
-                if not self.parser.begun:
-                    if not self.owed:
-                        return                  # idle for long
-                else:
+                if self.parser.begun:
                     self.fault(Malformed(408, "the request came too slowly"))
+                elif not self.owed and time.monotonic() >= self.bored_at():
+                    return
                 continue
             if not data:
                 return
@@ -164,7 +166,7 @@
             return None                         # the writer ends it
         if self.parser.begun:
             return self.parser.message.first_at + self.limits.request - time.monotonic()
-        return None if self.owed else self.limits.idle_client
+        return self.limits.idle_client
 
     def fault(self, problem: Malformed) -> None:
         self.last = True
--- a/opalwick/transport/connection.py
+++ b/opalwick/transport/connection.py
@@ -52,7 +52,9 @@
             ring.drop(self.sock.send(ring.held()))
 
     def readable(self) -> bool:
-        """Whether something unread is there, the other side's end included."""
+        """Whether something unread is there, the other side's end included, or it was closed from here."""
+        if self.closed:
+            return True
         watched = poll()
         watched.register(self.sock.fileno(), POLLIN)
         return bool(watched.poll(0))
--- a/opalwick/transport/limits.py
+++ b/opalwick/transport/limits.py
@@ -46,11 +46,14 @@
         clients=clients, spare=spare, workers=room - spare - clients, pipelined=8,
         # some kilobytes each, with their greenlets: an eighth of the memory
         work_items=max(64, min(max_open, int(memory / 8 / 8000))), headers=64,
-        # most messages pass in one piece; twice a thousand of them are a twelfth of the memory
-        ring=4096 * 2, body=65536, head=16384, bodies=int(memory / 6),
+        # most messages pass in one piece; two for each of a thousand connections are a twelfth of the memory
+        ring=8192, body=65536, head=16384, bodies=int(memory / 6),
         # some thousands of workers
         list=4 << 20,
-        request=5.0, idle_client=75.0, write=5.0, linger=1.0,
+        # idle clients cost little until the brim, where the one idle longest goes first. A message of the
+        # largest size takes far less than five seconds, and a client's end follows its last answer by a trip
+        # each way and its own turn
+        request=5.0, idle_client=75.0, write=5.0, linger=0.2,
         # clearly before the worker closes it: a request that crosses the close may have run
         idle_worker=max(0.5 * conn_idle, conn_idle - 3.0), connect=connect,
         # discovery serves calls in turn, so few long ones: as seldom as a scheduler that does not watch must
