--- a/opalwick/protocol/clients.py
+++ b/opalwick/protocol/clients.py
@@ -100,9 +100,9 @@
     """A client's connection."""
 
     def __init__(self, connection: Connection, limits: Limits, names: Names, scheduler: Takes,
-                 refuse: bool = False) -> None:
+                 full: bool = False) -> None:
         self.connection, self.limits, self.names, self.scheduler = connection, limits, names, scheduler
-        self.refuse = refuse                    # at the brim: one answer, then it goes
+        self.full = full                        # at the brim: one answer, then it goes
         self.owed: deque[Call] = deque()        # in the order asked
         self.changed = Event()                  # an answer is there, or reading is over
         self.written = Event()                  # an answer was written, or writing is over
@@ -114,6 +114,9 @@
         """Between requests: it may be closed."""
         return not self.owed and not self.parser.begun and not self.connection.readable()
 
+    def bored_at(self) -> float:
+        return self.connection.idle_since + self.limits.idle_client
+
     def close(self) -> None:
         self.over = True
         self.connection.close()                 # whoever waits on it finds out
@@ -145,11 +148,10 @@
             try:
                 data = self.connection.read(self.patience())
             except TimeoutError:
-                if not self.parser.begun:
-                    if not self.owed:
-                        return                  # idle for long
-                else:
+                if self.parser.begun:
                     self.fault(Malformed(408, "the request came too slowly"))
+                elif not self.owed and time.monotonic() >= self.bored_at():
+                    return
                 continue
             if not data:
                 return
@@ -164,7 +166,7 @@
             return None                         # the writer ends it
         if self.parser.begun:
             return self.parser.message.first_at + self.limits.request - time.monotonic()
-        return None if self.owed else self.limits.idle_client
+        return self.limits.idle_client
 
     def fault(self, problem: Malformed) -> None:
         self.last = True
@@ -183,7 +185,7 @@
         """Called by the parser; nothing here waits."""
         if self.last:                           # what follows a last request is not taken
             return
-        self.last = self.refuse or not message.keep_alive
+        self.last = self.full or not message.keep_alive
         call = self.owe(Call(message, self.last, self.changed))
         if message.target.split(b"?", 1)[0] == b"/-/ready":
             return call.answer(200 if self.scheduler.ready() else 503)
@@ -191,7 +193,7 @@
             fields = decode(message, self.names, self.parser.now)
         except Malformed as problem:
             return call.answer(problem.status, problem.text.encode())
-        if self.refuse or not self.scheduler.room_for(len(message.body)):
+        if self.full or not self.scheduler.room_for(len(message.body)):
             return call.answer(503, b"", *self.scheduler.advice)
         call.taken = True
         self.scheduler.take(call, *fields)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -107,7 +107,7 @@
 
 
 def test_at_the_brim_a_client_is_deferred_and_its_connection_ends() -> None:
-    client = Client(refuse=True, linger=0.05)
+    client = Client(full=True, linger=0.05)
     client.say(post())
     client.hear()
     client.hear()
@@ -135,7 +135,10 @@
 
 
 def test_an_idle_connection_is_closed() -> None:
-    client = Client(idle_client=0.05)
+    client = Client(idle_client=0.1)
+    client.say(post())
+    client.calls[0].answer(200, b"seven")
+    client.hear()
     client.running.join(2.0)
     client.hear()
     client.matches("client_idle")
