--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -27,7 +27,7 @@
 from opalwick.interface import (NEVER_RAN, Block, Cancel, Customer, Decision, Defer, Effect, Group,
                                 HandOff, ListForm, Outcome, Phase, Report, Row, Send, Subscribe, Sum, Tell,
                                 Terms, Wake, Worker, WorkItem, WriteOff, Zone)
-from opalwick.sums import Sums
+from opalwick.sums import Sums, older
 
 
 class Balancer:
@@ -186,8 +186,8 @@
     def summed(self, mark: int, zone: int, heard: int, rows: Sequence[Row]) -> None:
         """A keeper's answer: what all others that it has heard of have in flight in a zone."""
         z = self.zones.get(zone)
-        late = z and self.now - z.heard_at < 2.0 and (mark - z.answered) & 0xFFFFFFFF >= 0x80000000
-        if not z or late:                       # of words before those answered last; after a pause none is
+        # of words before those answered last; after a pause none is
+        if z is None or self.now - z.heard_at < 2.0 and older(mark, z.answered):
             return
         share = min(1.0, heard / self.terms.schedulers)
         z.answered, z.heard_at, z.unanswered, z.heard = mark, self.now, 0, share
@@ -215,10 +215,8 @@
         for other in self.terms.customers:      # a quarter above the share and ten items saved up, for chance
             other.saved = min(10.0, other.saved + 1.25 * other.quota / quota) if quota else 10.0
         customer.saved -= 1.0
-        if customer.saved >= 0.0:
-            return False
-        customer.saved = 0.0
-        return True
+        over, customer.saved = customer.saved < 0.0, max(0.0, customer.saved)
+        return over
 
     def seen_others(self, w: Worker, others: float) -> None:
         w.others, w.others_at, w.seen_at = others, self.now, -1.0
@@ -368,7 +366,8 @@
         if not self.subscribed and not self.asked and self.now >= self.ask_at:
             self.asked = True
             yield Subscribe()
-        yield from self.exchange()
+        if self.tells:
+            yield from self.exchange()
         while self.due and self.due[0][0] <= self.now:
             yield from self.fall_due(heapq.heappop(self.due)[2])
         while self.todo or self.undo or self.freed:
@@ -396,10 +395,11 @@
         A word to all grows with the square of the schedulers; to one keeper and back, a work item causes as
         much whatever their number. A keeper that does not answer is passed over for the next in number.
         """
-        t, rate = self.terms, self.rate * math.exp((self.taken_at - self.now) / 5.0)
+        t = self.terms
         for z in self.zones.values():
-            if self.now < z.tell_at or not self.tells:
+            if self.now < z.tell_at:
                 continue
+            rate = self.rate * math.exp((self.taken_at - self.now) / 5.0)
             self.active = {w: None for w in self.active if self.held(w)}
             here = [w for w in self.active if w.zone == z.id]
             # half a point of price for each work item, at four bytes a row and sixteen for the rest; of other
--- a/opalwick/sums.py
+++ b/opalwick/sums.py
@@ -6,6 +6,11 @@
 from opalwick.interface import Row, Worker
 
 
+def older(mark: int, known: int) -> bool:
+    """Marks come round: half of the circle lies behind the known one."""
+    return (mark - known) & 0xFFFFFFFF >= 0x80000000
+
+
 class Sums:
     def __init__(self) -> None:
         self.words: dict[tuple[int, int], tuple[int, float, Sequence[Row]]] = {}    # the oldest first
@@ -15,8 +20,8 @@
 
     def told(self, now: float, peer: int, mark: int, zone: int, rows: Sequence[Row]) -> None:
         key = peer, zone
-        if key in self.words and 0 < (self.words[key][0] - mark) & 0xFFFFFFFF < 0x80000000:
-            return                              # older than what is known: it came late
+        if key in self.words and older(mark, self.words[key][0]):
+            return                              # it came late
         self._drop(key)
         self.words[key] = mark, now, rows
         self.askers[key] = None
