--- a/opalwick/program/scheduler.py
+++ b/opalwick/program/scheduler.py
@@ -147,12 +147,24 @@
                     self.shed()
                 gevent.sleep(0.01)
                 continue
-            if len(self.conversations) >= self.limits.clients:
-                self.shed()
-            conversation = Conversation(connection, self.limits, self.names, self,
-                                        len(self.conversations) >= self.limits.clients)
-            self.conversations[conversation] = None
-            gevent.spawn(self.converse, conversation)
+            self.admit(connection)
+
+    def admit(self, connection: Connection) -> None:
+        if len(self.conversations) >= self.limits.clients:
+            self.shed()
+        conversation = Conversation(connection, self.limits, self.names, self,
+                                    len(self.conversations) >= self.limits.clients)
+        self.conversations[conversation] = None
+        gevent.spawn(self.converse, conversation)
+
+    def empty(self, listener: Any) -> None:
+        """Takes what waits in the backlog: it counts as accepted, and closing would lose it."""
+        listener.settimeout(0.0)
+        try:
+            while True:
+                self.admit(Connection(listener.accept()[0], self.limits.ring))
+        except OSError:                         # no more
+            pass
 
     def shed(self) -> bool:
         """At the brim: the client connection that has waited longest goes; its client opens another one."""
@@ -206,6 +218,7 @@
         self.put("closing", time.monotonic() + self.limits.leave)
         gevent.sleep(self.limits.closing)
         accepting.kill()
+        self.empty(listener)
         listener.close()
         # a request that has not come whole is not taken, so what has not by then is left
         while self.conversations and time.monotonic() < self.reducer.leave_at + self.limits.linger:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -204,3 +204,15 @@
         if running.poll() is not None:
             break
     assert running.wait(1.0) == 0
+
+
+def test_what_waits_in_the_backlog_when_listening_ends_is_still_taken(tmp_path, monkeypatch) -> None:
+    """It counts as accepted: closing the listener would reset it."""
+    monkeypatch.setattr(Scheduler, "accept", lambda self, listener: gevent.sleep(5.0))
+    served = Served(tmp_path, DONE)
+    served.scheduler.limits = replace(served.scheduler.limits, closing=0.1)
+    served.scheduler.stop.set()
+    late = served.ask(post())
+    assert first(late) == "HTTP/1.1 200 OK | Connection: close | 7"
+    served.running.join(2.0)
+    assert served.running.successful()
