A watch that ends is always told; an answer without a length tells its outcome

Found by reading: an odd number in a list ended the watch's greenlet without a word, so that the module would never have asked again and been deemed to know; a 503 that proves that nothing ran, closed instead of measured, counted as broken; a zone that does not fit into a word's byte would have failed every pull.

--- a/opalwick/program/main.py
+++ b/opalwick/program/main.py
@@ -35,7 +35,11 @@
     from opalwick.program.scheduler import Scheduler
 
     logger.remove()
-    logger.add(sys.stderr, level=log.upper(), backtrace=False, diagnose=False)
+    try:
+        logger.add(sys.stderr, level=log.upper(), backtrace=False, diagnose=False)
+    except ValueError:
+        typer.echo(f"opalwick: --log is malformed: {log!r} is no level", err=True)
+        raise typer.Exit(2) from None
     scheduler = Scheduler(_read(configuration))
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, lambda: scheduler.stop.set())
--- a/opalwick/protocol/discovery.py
+++ b/opalwick/protocol/discovery.py
@@ -34,18 +34,20 @@
     """
     try:
         version, whole, hosts = int(told["seq"]), bool(told["whole"]), list(told["hosts"])
-    except (TypeError, KeyError) as problem:
+    except (TypeError, KeyError, OverflowError) as problem:
         raise ValueError(f"not a list of workers: {problem}") from None
     found = []
     for entry in hosts:
         try:
-            name, born = str(entry["host"]), float(entry.get("born_ms", 0))
+            name, born, zone = str(entry["host"]), float(entry.get("born_ms", 0)), names.zone(entry["site"])
+            if zone > 255:                      # a word to another scheduler gives it a byte
+                continue
             # the same number at every scheduler
             number = zlib.crc32(name.encode())
-            found.append((name, number, names.zone(entry["site"]), names.kind(entry["class"]),
+            found.append((name, number, zone, names.kind(entry["class"]),
                           int(entry.get("block", 0)), _PHASES[entry["health"]],
                           born / 1000.0 - unix if born > 0 else LONG_AGO, address(entry["dial"])))
-        except (TypeError, KeyError, ValueError, AttributeError):
+        except (TypeError, KeyError, ValueError, AttributeError, OverflowError):
             continue
     return version, whole, found
 
@@ -70,8 +72,11 @@
                     self.listed(ListForm.FULL if whole else ListForm.CHANGES, found)
                 wait = self.limits.watch
         except (OSError, Malformed, ValueError):
+            pass
+        finally:
+            # whatever ended it: a watch that is not known to have failed would never be asked for again
             self.close()
-        self.listed(ListForm.FAILED, [])
+            self.listed(ListForm.FAILED, [])
 
     def call(self, wait: float) -> tuple[int, bool, list[tuple]]:
         # calls that do not wait still queue at discovery, which fails them itself when that takes too long
--- a/opalwick/protocol/http.py
+++ b/opalwick/protocol/http.py
@@ -35,6 +35,7 @@
         self.most = most or limits.body         # bytes of a body
         self.expects = expects                  # called when the other side waits for leave to send a body
         self.message, self.begun = Message(0.0), False  # begun: and not yet whole
+        self.headed = False                     # the message's fields are complete
         self.head = 0                           # bytes of fields so far
         self.unread = 0                         # bytes fed since the head began, while it is not complete
         self.problem: Malformed | None = None
@@ -63,7 +64,7 @@
     # ---- called by httptools
 
     def on_message_begin(self) -> None:
-        self.message, self.begun = Message(self.now), True
+        self.message, self.begun, self.headed = Message(self.now), True, False
         self.head, self.parts, self.held = 0, [], 0
 
     def on_url(self, part: bytes) -> None:
@@ -78,7 +79,7 @@
         self.message.headers[name.lower()] = value
 
     def on_headers_complete(self) -> None:
-        self.unread = 0
+        self.unread, self.headed = 0, True
         length = self.message.headers.get(b"content-length", b"0")
         if length.isdigit() and int(length) > self.most:
             self.wrong(413, "body too large")
--- a/opalwick/protocol/workers.py
+++ b/opalwick/protocol/workers.py
@@ -139,7 +139,7 @@
                 data = connection.read(self.until - time.monotonic())
                 if not data:
                     connection.close()
-                    return Outcome.BROKEN, (), b""
+                    return self.cut(answer)
                 answer.feed(data, 0.0)
                 lines, answer.lines = answer.lines, []
                 for line in lines:
@@ -176,6 +176,11 @@
             return outcome, figures(told.get("load"), self.names), result.encode() if result else b""
         return None
 
+    def cut(self, answer: Answer) -> End:
+        """The connection has ended. An answer without a length ends so, and its fields tell the outcome."""
+        answer.message.status = answer.parser.get_status_code() if answer.headed else 200
+        return self.status(answer.message)
+
     def status(self, last: Message) -> End:
         """The outcome of an answer without a last line."""
         load = figures(last.headers.get(b"x-backend-load"), self.names)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -267,7 +267,8 @@
     A piece is bytes to send; None holds the connection silent; an empty piece closes it.
     """
 
-    def __init__(self, *script: bytes | None) -> None:
+    def __init__(self, *script: bytes | None, last: bool = False) -> None:
+        self.last = last                        # it closes after each piece
         self.script, self.heard, self.connections = list(script), [], 0
         self.listener = gevent.socket.socket()
         self.listener.bind(("127.0.0.1", 0))
@@ -291,6 +292,8 @@
                 break
             else:
                 sock.sendall(piece)
+                if self.last:
+                    break
         sock.close()
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -49,13 +49,15 @@
 
 def test_odd_entries_cost_nobody_else() -> None:
     assert watched(told(42, entry("a", dial="nowhere"), {"host": "b"}, entry("c", health="odd"), entry("d"),
-                        entry("e", block=None), entry("f", site=["x"])))[0] == (
+                        entry("e", block=None), entry("f", site=["x"]),
+                        entry("g", block=float("inf"))))[0] == (
         "CHANGES d: zone 1, kind 1, cell 3, READY at 5000")
 
 
 def test_what_is_no_list_fails_the_watch() -> None:
     for odd in (b"HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\n[]", b"220 ready\r\n",
-                b"HTTP/1.1 200 x\r\nContent-Length: 1\r\n\r\n{"):
+                b"HTTP/1.1 200 x\r\nContent-Length: 1\r\n\r\n{", told(float("inf")), told("x"),
+                told(1).replace(b"[]", b" 7")):
         assert watched(odd)[0] == "FAILED"
 
 
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -16,10 +16,10 @@
 class Errand:
     """Hand-offs to one stand-in."""
 
-    def __init__(self, *script: bytes | None, place: tuple[str, int] | None = None, **changes) -> None:
+    def __init__(self, *script: bytes | None, last: bool = False, **changes) -> None:
         self.limits, self.wanted = limits(**changes), True
-        self.stand, self.lines = Stand(*script), []
-        self.place = place or self.stand.place
+        self.stand, self.lines = Stand(*script, last=last), []
+        self.place = self.stand.place
         self.pool = Pool(self.limits.workers, self.limits.idle_worker, self.limits.ring)
 
     def go(self, within: float = 1.0, give_up: float | None = None, body: bytes = b"x") -> None:
@@ -66,12 +66,15 @@
     "error": b"HTTP/1.1 500 x\r\nX-Backend-Load: x0=2,active=7\r\nContent-Length: 2\r\n\r\nno",
     "full": b"HTTP/1.1 503 x\r\nX-Unprocessed: 1\r\nX-Backend-Load: x0=0\r\nContent-Length: 0\r\n\r\n",
     "full_late": b"HTTP/1.1 504 x\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n",
+    "full_no_length": b"HTTP/1.1 503 x\r\nX-Unprocessed: 1\r\n\r\n",
+    "error_no_length": b"HTTP/1.1 500 x\r\n\r\nno",
+    "half_a_head": b"HTTP/1.1 503 x\r\nX-Unprocessed: 1\r\n",
     "unmarked": b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n",
     "interim": b"HTTP/1.1 100 Continue\r\n\r\n" + chunked(DONE),
     "closing": chunked(DONE).replace(b"\r\n", b"\r\nConnection: close\r\n", 1),
 }.items(), ids=lambda part: part if isinstance(part, str) else "")
 def test_outcomes(name: str, piece: bytes | None) -> None:
-    errand = Errand(piece)
+    errand = Errand(piece, last=name in ("full_no_length", "error_no_length", "half_a_head"))
     errand.go(within=0.2)
     assert [*errand.lines, errand.closes()] == OUTCOMES[name]
 
@@ -91,6 +94,9 @@
     "error": ["ERROR (2.0, 7.0)", "1 connections, 1 open"],
     "full": ["FULL (0.0, -1.0)", "1 connections, 1 open"],
     "full_late": ["FULL", "1 connections, 1 open"],
+    "full_no_length": ["FULL", "1 connections, 0 open"],
+    "error_no_length": ["ERROR", "1 connections, 0 open"],
+    "half_a_head": ["BROKEN", "1 connections, 0 open"],
     "unmarked": ["ERROR", "1 connections, 1 open"],
     "interim": ["FINISHED (3.0, 1.5) b'7'", "1 connections, 1 open"],
     "closing": ["FINISHED (3.0, 1.5) b'7'", "1 connections, 0 open"],
