--- a/opalwick/program/scheduler.py
+++ b/opalwick/program/scheduler.py
@@ -45,8 +45,8 @@
         except ValueError as problem:
             logger.warning("known: {}; starting from no list", problem)
             version, known = 0, []
-        self.discovery = Discovery(c.discovery, version, c.names, unix, c.limits,
-                                   lambda form, found: self.put("listed", form, found))
+        self.discovery = Discovery(c.discovery, version, c.names, unix, c.limits, self.listed)
+        self.watched: bool | None = None        # whether the last call to discovery was answered
         self.known, self.stop = known, Event()
 
     # ---- reducer and effects; none of this waits, so one input is done before the next
@@ -105,6 +105,16 @@
             self.wake_at = float("inf")
             self.put("woken")
 
+    def listed(self, form: ListForm, found: list[tuple]) -> None:
+        watched = form is not ListForm.FAILED
+        if watched != self.watched:
+            self.watched = watched
+            if watched:
+                logger.info("the list is watched")
+            else:
+                logger.warning("the watch on the list failed; what is held stays in use")
+        self.put("listed", form, found)
+
     def heard(self, sender: Address, octets: bytes) -> None:
         if (peer := self.peers.get(sender)) is not None:
             self.put("heard", peer, octets)
@@ -220,10 +230,10 @@
         accepting.kill()
         self.empty(listener)
         listener.close()
-        # a request that has not come whole is not taken, so what has not by then is left
+        # a request that has not come whole is not taken, so one that drips on may be left
         while self.conversations and time.monotonic() < self.reducer.leave_at + self.limits.linger:
-            # between requests a connection may be closed; the others are closed after their answer
-            for conversation in [c for c in self.conversations if c.idle()]:
+            # what waits may be closed; the others are closed after their answer
+            for conversation in [c for c in self.conversations if c.waits() is not None]:
                 conversation.close()
             gevent.sleep(0.01)
         logger.info("{} ends", self.configuration.name)
--- a/opalwick/protocol/clients.py
+++ b/opalwick/protocol/clients.py
@@ -113,13 +113,8 @@
         self.last = False                       # nothing more is taken: what comes is read and dropped
         self.parser = Parser(httptools.HttpRequestParser, limits, self.whole, self.expects)
 
-    def idle(self) -> bool:
-        """Between requests: it may be closed."""
-        return not self.owed and not self.parser.begun and not self.connection.readable()
-
     def waits(self) -> float | None:
-        """Since when it could make room for another: nothing is owed, and if a request has begun to come, it
-        comes slowly. None if it may not go."""
+        """Since when it waits between requests or for the rest of one that drips; None: it may not go."""
         if self.owed or self.over:
             return None
         if self.parser.begun:
