--- a/opalwick/drill/host.py
+++ b/opalwick/drill/host.py
@@ -118,7 +118,7 @@
             elif scheduler := self._schedulers.get(current):
                 touched[current] = None
                 try:
-                    scheduler.reducer.balancer.clock(clock * _MICRO)
+                    scheduler.reducer.clock(clock * _MICRO)
                     getattr(scheduler, name)(clock, *fields)
                 except BadFrame:
                     raise
--- a/opalwick/routing/reducer.py
+++ b/opalwick/routing/reducer.py
@@ -72,10 +72,13 @@
 
     def reduce(self, now: float, kind: str, *fields: Any) -> Iterator[Effect]:
         """Takes in one input, named as its method below; gives the effects, to be carried out in order."""
-        self.balancer.clock(now)
+        self.clock(now)
         getattr(self, kind)(*fields)
         return self.effects()
 
+    def clock(self, now: float) -> None:
+        self.balancer.clock(now)
+
     # ---- inputs
 
     def listed(self, form: ListForm, rows: Sequence[tuple]) -> None:
