--- a/opalwick/program/scheduler.py
+++ b/opalwick/program/scheduler.py
@@ -12,7 +12,7 @@
 
 from opalwick.interface import ListForm
 from opalwick.program.configuration import Configuration
-from opalwick.protocol.clients import Call, Conversation
+from opalwick.protocol.clients import Call, Conversation, come_back
 from opalwick.protocol.discovery import Discovery, rows
 from opalwick.protocol.workers import HandingOff
 from opalwick.routing.reducer import Answer, Close, Datagram, Final, Reducer, Send, Timer, Watch
@@ -32,11 +32,10 @@
         self.conversations: dict[Conversation, None] = {}
         self.out: dict[tuple[Call, int], HandingOff] = {}
         self.bodies = self.open = 0             # bytes, work items: unanswered
-        self.closing, self.started = False, False
+        self.closing = False
         self.place = c.listen
         # when the door itself defers: a second, in which a crowd passes, or as long as clients honour
-        back = min(1.0, c.terms.retry_after)
-        self.advice: tuple[str, ...] = (f"Retry-After: {back:g}",) if back > 0 else ()
+        self.advice = come_back(min(1.0, c.terms.retry_after))
         self.wake_at, self.rearmed = now, Event()
         self.peers = {place: i for i, place in enumerate(c.peers)}
         self.datagrams = Datagrams(c.peer_listen) if c.peer_listen and c.terms.may_tell else None
@@ -80,7 +79,7 @@
             case Answer(call, Final.FINISHED, result):
                 call.answer(200, result, "Content-Type: application/octet-stream")
             case Answer(call, Final.DEFERRED, _, come_back_in):
-                call.answer(503, b"", *([f"Retry-After: {come_back_in:g}"] if come_back_in > 0 else []))
+                call.answer(503, b"", *come_back(come_back_in))
             case Answer(call, Final.WRITTEN_OFF):
                 call.answer(504)
             case Timer(at):
@@ -122,7 +121,7 @@
     # ---- what the clients' side asks for
 
     def ready(self) -> bool:
-        return self.started and not self.closing
+        return not self.closing
 
     def room_for(self, body: int) -> bool:
         return self.open < self.limits.work_items and self.bodies + body <= self.limits.bodies
@@ -220,7 +219,6 @@
         if self.datagrams is not None:
             gevent.spawn(self.forever, self.datagrams.receive, self.heard)
         accepting = gevent.spawn(self.forever, self.accept, listener)
-        self.started = True
         logger.info("{} serves on {}:{}", self.configuration.name, *self.configuration.listen)
         self.stop.wait()
         logger.info("{} is to end; {} work items unanswered", self.configuration.name, self.open)
--- a/opalwick/protocol/clients.py
+++ b/opalwick/protocol/clients.py
@@ -62,6 +62,11 @@
     return value
 
 
+def come_back(seconds: float) -> tuple[str, ...]:
+    """The field that tells a client when to come back, where it may be told."""
+    return (f"Retry-After: {seconds:g}",) if seconds > 0 else ()
+
+
 def facts(text: bytes | None) -> dict[bytes, float]:
     """Odd ones are passed over."""
     found = {}
@@ -96,9 +101,6 @@
     return category, customer, subject, now, expiry_at, hint, slots if 0 < slots < 1e4 else 1.0
 
 
-SLOW = 1.0  # seconds: most requests come whole in one piece; a connection that drips must not keep others out
-
-
 class Conversation:
     """A client's connection."""
 
@@ -119,7 +121,7 @@
             return None
         if self.parser.begun:
             begun = self.parser.message.first_at
-            return begun if time.monotonic() > begun + SLOW else None
+            return begun if time.monotonic() > begun + self.limits.drip else None
         return None if self.connection.readable() else self.connection.idle_since
 
     def bored_at(self) -> float:
--- a/opalwick/protocol/discovery.py
+++ b/opalwick/protocol/discovery.py
@@ -95,7 +95,7 @@
             came = self.connection.read(until - time.monotonic())
             if not came:
                 raise ConnectionError("discovery ended the connection")
-            parser.feed(came, 0.0)
+            parser.feed(came)
         if not done[0].keep_alive:
             self.close()
         if done[0].status != 200:
--- a/opalwick/protocol/http.py
+++ b/opalwick/protocol/http.py
@@ -43,7 +43,7 @@
         self.held = 0                           # their bytes
         self.parser = kind(self)
 
-    def feed(self, data: memoryview, now: float) -> None:
+    def feed(self, data: memoryview, now: float = 0.0) -> None:
         self.now = now
         self.unread += len(data)
         try:
@@ -109,9 +109,8 @@
 
 
 REASONS = {100: "Continue", 200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-           408: "Request Timeout", 413: "Content Too Large", 414: "URI Too Long", 429: "Too Many Requests",
-           431: "Request Header Fields Too Large", 502: "Bad Gateway", 503: "Service Unavailable",
-           504: "Gateway Timeout"}
+           408: "Request Timeout", 413: "Content Too Large", 414: "URI Too Long",
+           431: "Request Header Fields Too Large", 503: "Service Unavailable", 504: "Gateway Timeout"}
 
 
 def response(status: int, body: bytes, close: bool, *fields: str) -> bytes:
--- a/opalwick/protocol/workers.py
+++ b/opalwick/protocol/workers.py
@@ -1,4 +1,4 @@
-"""The workers' side: one hand-off, from its connection to its outcome, and the list's words for workers."""
+"""The workers' side: one hand-off, from its connection to its outcome."""
 from __future__ import annotations
 
 import json
@@ -140,7 +140,7 @@
                 if not data:
                     connection.close()
                     return self.cut(answer)
-                answer.feed(data, 0.0)
+                answer.feed(data)
                 lines, answer.lines = answer.lines, []
                 for line in lines:
                     if (end := self.line(line)) is not None:
@@ -193,11 +193,11 @@
         """The connection goes back once its message is over."""
         answer = self.answer
         try:
-            until = time.monotonic() + 0.25     # the last chunk comes with the last line or right after
+            until = time.monotonic() + self.limits.rest
             while not connection.closed and answer.last is None:
                 if not (data := connection.read(until - time.monotonic())):
                     break
-                answer.feed(data, 0.0)
+                answer.feed(data)
         except (OSError, Malformed):
             pass
         if answer.last is None or not answer.last.keep_alive:
--- a/opalwick/transport/limits.py
+++ b/opalwick/transport/limits.py
@@ -21,10 +21,12 @@
     list: int               # the list of workers
     # seconds
     request: float          # from a request's first byte to its last
+    drip: float             # past this a request that is not whole may make room for others, at the brim
     idle_client: float      # a client's connection between requests
     write: float            # a client that does not read its answer
     linger: float           # a client that does not close after its last answer
     idle_worker: float      # a worker's connection between requests
+    rest: float             # the end of an answer whose last line has come
     connect: float
     watch: float            # one watch call waits so long at discovery
     silent: float           # and is given up so long after that
@@ -39,9 +41,9 @@
     # files, discovery, datagrams, the listener and what the event loop holds
     room = max(16, sockets - 32)
     spare = max(2, room // 32)
-    # of the rest, half and half: each client connection carries one work item, each hand-off one connection
     memory, ring, body = memory_mb * 1e6, 8192, 65536
-    # and as many clients as may each hold a body that has not come whole, in a sixth of the memory
+    # of the rest, half and half: each client connection carries one work item, each hand-off one connection;
+    # but no more clients than may each hold a body that has not come whole, in a sixth of the memory
     clients = max(4, min((room - spare) // 2, int(memory / 6 / (body + 2 * ring))))
     return Limits(
         clients=clients, spare=spare, workers=room - spare - clients, pipelined=8,
@@ -52,11 +54,13 @@
         # some thousands of workers
         list=4 << 20,
         # idle clients cost little until the brim, where the one idle longest goes first. A message of the
-        # largest size takes far less than five seconds, and a client's end follows its last answer by a trip
-        # each way and its own turn
-        request=5.0, idle_client=75.0, write=5.0, linger=0.2,
+        # largest size takes far less than five seconds, most come in one piece, and a client's end follows
+        # its last answer by a trip each way and its own turn
+        request=5.0, drip=1.0, idle_client=75.0, write=5.0, linger=0.2,
         # clearly before the worker closes it: a request that crosses the close may have run
         idle_worker=max(0.5 * conn_idle, conn_idle - 3.0), connect=connect,
+        # the last chunk comes with the last line or right after
+        rest=0.25,
         # discovery serves calls in turn, so few long ones: as seldom as a scheduler that does not watch must
         # ask. What a silent one had to tell counts as told 2 s after the wait: by then it is asked anew
         watch=max(1.0, min(ask_every, 60.0)), silent=1.0,
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -129,7 +129,6 @@
         return "".join(f" {chr(w.id)}:{slots:g}" for w, slots, _ in rows) or " nothing"
 
 
-
 # ---- the scheduler: settings in the operators' form, a reducer, and stand-ins on the other side of sockets
 
 SETTINGS = {
@@ -179,7 +178,6 @@
                           f"{', '.join(said) or 'nothing'}")
         return effects
 
-
     @staticmethod
     def word(effect: Asked) -> str:
         if isinstance(effect, Answer):
