--- a/opalwick/program/scheduler.py
+++ b/opalwick/program/scheduler.py
@@ -35,7 +35,7 @@
         self.conversations: dict[Conversation, None] = {}
         self.out: dict[tuple[Call, int], HandingOff] = {}
         self.bodies = self.open = 0             # bytes, work items: unanswered
-        self.closing = False
+        self.leaving = self.closing = False     # told to end; takes nothing new any more
         self.place = c.listen
         # when the door itself defers: a second, in which a crowd passes, or as long as clients honour
         self.advice = come_back(min(1.0, c.terms.retry_after))
@@ -124,7 +124,7 @@
     # ---- what the clients' side asks for
 
     def ready(self) -> bool:
-        return not self.closing
+        return not self.leaving
 
     def room_for(self, body: int) -> bool:
         return self.open < self.limits.work_items and self.bodies + body <= self.limits.bodies
@@ -242,9 +242,10 @@
         logger.info("{} serves on {}:{}", self.configuration.name, *self.configuration.listen)
         self.stop.wait()
         logger.info("{} is to end; {} work items unanswered", self.configuration.name, self.open)
-        self.closing = True
+        self.leaving = True
         self.put("closing", time.monotonic() + self.limits.leave)
         gevent.sleep(self.limits.closing)
+        self.closing = True
         accepting.kill()
         self.empty(listener)
         listener.close()
--- a/opalwick/protocol/clients.py
+++ b/opalwick/protocol/clients.py
@@ -35,7 +35,7 @@
 
 class Takes(Protocol):
     """What the scheduler does for the clients' side; nothing of it waits."""
-    closing: bool       # it is to end: connections are closed as soon as nothing is owed on them
+    closing: bool       # it is about to end: connections are closed as soon as nothing is owed on them
     advice: tuple[str, ...]     # fields that tell when to come back
 
     def ready(self) -> bool: ...
--- a/opalwick/transport/limits.py
+++ b/opalwick/transport/limits.py
@@ -31,13 +31,15 @@
     watch: float            # one watch call waits so long at discovery
     silent: float           # and is given up so long after that
     queued: float           # a call that does not wait may stand in discovery's queue so long
-    closing: float          # new connections are taken so long after SIGTERM
+    closing: float          # after SIGTERM connections stay open and new ones are taken so long
     leave: float            # all is answered by then after SIGTERM
 
 
 def within(sockets: int, memory_mb: float, max_open: int, conn_idle: float, connect: float,
            ask_every: float, longest: float) -> Limits:
     """Budgets by use, out of what the machine gives."""
+    # SIGKILL comes no sooner than 0.7 s after the longest expiry or three seconds; some is kept in hand
+    leave = min(longest, 3.0) + 0.7 - 0.3
     # files, discovery, datagrams, the listener and what the event loop holds
     room = max(16, sockets - 32)
     spare = max(2, room // 32)
@@ -66,6 +68,6 @@
         watch=max(1.0, min(ask_every, 60.0)), silent=1.0,
         # what such a call has to tell counts as told after six
         queued=5.0,
-        # connections come for up to 0.4 s after SIGTERM, and SIGKILL no sooner than 0.7 s after the longest
-        # expiry or three seconds; some is kept in hand
-        closing=0.5, leave=min(longest, 3.0) + 0.7 - 0.3)
+        # connections come for up to 0.4 s after SIGTERM, but clients that have no other scheduler are served as
+        # long as what comes may still end: most work items run for less than half a second
+        closing=min(leave, max(0.5, leave - 0.5)), leave=leave)
