--- a/opalwick/program/scheduler.py
+++ b/opalwick/program/scheduler.py
@@ -133,8 +133,8 @@
         return self.open < self.limits.work_items and self.bodies + body <= self.limits.bodies
 
     def holds(self, id: bytes) -> bool:
-        """Whether a work item with this id is open, at a worker if nowhere else: a second one must not get what
-        the first is owed, nor be taken for it there."""
+        """Whether a work item with this id is open, at a worker if nowhere else: a second one must not get
+        what the first is owed, nor be taken for it there."""
         return id in self.reducer.items
 
     def take(self, call: Call, *fields: Any) -> None:
--- a/opalwick/protocol/clients.py
+++ b/opalwick/protocol/clients.py
@@ -134,8 +134,8 @@
         self.parser = Parser(httptools.HttpRequestParser, limits, self.whole, self.expects)
 
     def waits(self, least: float = 0.0) -> tuple[bool, float] | None:
-        """Whether it has asked for something, and since when it waits for the next request, for the rest of one
-        that drips or for the other side's end; None: it may not go, or has not waited for so long.
+        """Whether it has asked for something, and since when it waits for the next request, for the rest of
+        one that drips or for the other side's end; None: it may not go, or has not waited for so long.
 
         One that has asked is worth more: whoever comes and says nothing must not take a usual client's place.
         """
--- a/opalwick/protocol/http.py
+++ b/opalwick/protocol/http.py
@@ -76,7 +76,7 @@
         self.head += len(name) + len(value)
         if self.head > self.limits.head or len(self.message.headers) >= self.limits.headers:
             self.wrong(431, "header fields too large")
-        if self.headed:                         # what follows a body must not take the place of a field before it
+        if self.headed:                         # what follows a body must not take the place of the head
             return
         name = name.lower()
         # twice is one list, as HTTP has it: where one value is due, it is malformed
--- a/opalwick/transport/limits.py
+++ b/opalwick/transport/limits.py
@@ -81,5 +81,6 @@
         # what such a call has to tell counts as told after six
         queued=5.0,
         # connections come for up to 0.4 s after SIGTERM, but clients that have no other scheduler are served
-        # as long as what comes may still end: the shortest work items run for about a tenth of a second
-        closing=min(leave, max(0.5, leave - 0.2)), leave=leave)
+        # for as long as what comes may well end; and those that have one move on before its own restart,
+        # which where schedulers restart in turn comes no sooner than this one may be killed
+        closing=min(leave, max(0.5, leave - 0.9)), leave=leave)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -97,6 +97,30 @@
     trace.matches("client_wrong")
 
 
+def test_an_answer_reaches_a_client_that_is_still_sending() -> None:
+    """Closing on what still comes would reset the connection and take the answer along; but not for ever."""
+    def sent(**changes) -> int:
+        client = Client(linger=0.1, **changes)
+        client.say(post(body=b"", Content_Length="60000000"))
+        count = 0
+        try:
+            for count in range(1, 9):
+                client.say(b"x" * 60000)
+                gevent.sleep(0.03)
+        except OSError:                         # reset
+            count -= 1
+        else:
+            client.sock.shutdown(gevent.socket.SHUT_WR)
+            client.hear()
+            assert client.lines[-1] == (
+                "hear HTTP/1.1 413 Content Too Large | Connection: close |  | body too large")
+        client.running.join(1.0)
+        assert client.running.successful()
+        return count
+    assert sent() == 8
+    assert 3 <= sent(dropped=200000) < 8 and sent(leaving=0.15) < 8
+
+
 def test_leave_to_send_a_body_is_given() -> None:
     client = Client()
     head, body = post("/look/7", b"abc", "Expect: 100-continue").split(b"\r\n\r\n")
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -30,6 +30,13 @@
     desk.matches("reducer_not_sent")
 
 
+def test_what_the_door_has_answered_is_not_sent_again() -> None:
+    desk = Desk()
+    desk.take("a")
+    assert not [effect for effect in desk.put("ended", "a", 0, Outcome.ERROR, True)
+                if type(effect).__name__ != "Timer"] and not desk.reducer.items
+
+
 def test_a_client_that_leaves_takes_its_hand_offs_along() -> None:
     desk = Desk()
     desk.take("a")
