--- a/opalwick/protocol/clients.py
+++ b/opalwick/protocol/clients.py
@@ -129,7 +129,7 @@
         self.written = Event()                  # an answer was written, or writing is over
         self.over = False
         self.last = False                       # nothing more is taken: what comes is read and dropped
-        self.asked = False                      # something whole that could be served
+        self.asked = False                      # for a work item, and in order
         self.dropped = 0                        # bytes
         self.parser = Parser(httptools.HttpRequestParser, limits, self.whole, self.expects)
 
@@ -246,10 +246,11 @@
                 raise Malformed(409, "a work item with this id is open")
         except Malformed as problem:
             return self.fault(problem)
-        self.asked, self.last = True, self.full or not message.keep_alive
+        self.last = self.full or not message.keep_alive
         call = self.owe(Call(message, self.last, self.changed))
-        if ready:
+        if ready:                               # which makes no usual client of those that ask so and stay
             return call.answer(200 if self.scheduler.ready() else 503)
+        self.asked = True
         if self.full or not self.scheduler.room_for(len(message.body)):
             return call.answer(503, b"", *self.scheduler.advice)
         call.taken = True
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -109,11 +109,12 @@
 
 
 def test_at_the_brim_idle_clients_make_room_and_busy_ones_do_not(tmp_path) -> None:
-    served = Served(tmp_path, DONE, limits={"sockets": 40})
+    served = Served(tmp_path, DONE, DONE, limits={"sockets": 40})
     most = served.scheduler.limits.clients
-    kept = served.ask(READY)                    # a usual client, idle for longer than the silent ones
+    kept = served.ask(post())                   # a usual client, idle for longer than those that ask for nothing
     trace = [first(kept)]
-    idle = [served.ask(b"") for _ in range(most - 1)]
+    idle = [served.ask(READY) for _ in range(most - 1)]
+    assert [first(sock) for sock in idle] == ["HTTP/1.1 200 OK"] * (most - 1)
     gevent.sleep(0.1)
     busy = [served.ask(post()[:40]) for _ in range(most)]
     assert [sock.recv(9) for sock in idle] == [b""] * (most - 1)
@@ -123,7 +124,7 @@
     trace.append(first(kept))
     gevent.sleep(1.0)                           # those have dripped for too long: they make room as well
     trace.append(first(served.ask(post())))
-    assert trace == ["HTTP/1.1 200 OK",
+    assert trace == ["HTTP/1.1 200 OK | 7",
                      "HTTP/1.1 503 Service Unavailable | Retry-After: 1 | Connection: close",
                      "HTTP/1.1 200 OK", "HTTP/1.1 200 OK | 7"]
     for sock in busy:
