serve as deployed starts without the parser of the command line: a third sooner, 10 MB less

Seen: in planned restarts clients fail while one scheduler starts and the next one leaves; 0.46 s to start, of which the import of typer with pydantic takes 0.17 s (import times). Ruled out: reading the configuration (milliseconds). program/service.py now serves; the command line calls it, and plain 'serve' goes there straight.

--- a/opalwick/__main__.py
+++ b/opalwick/__main__.py
@@ -1,4 +1,12 @@
 """python -m opalwick: the command line."""
-from opalwick.program.main import app
+import sys
+
+if sys.argv[1:] == ["serve"]:
+    # as deployed: without the parser of the command line a restart takes a third less, and ten megabytes
+    from opalwick.program.service import serve
+
+    sys.exit(serve())
+
+from opalwick.program.main import app  # noqa: E402
 
 app()
--- a/opalwick/program/main.py
+++ b/opalwick/program/main.py
@@ -1,14 +1,10 @@
 """The command line."""
 from __future__ import annotations
 
-import gc
 import os
-import signal
-import sys
 from typing import Annotated, Optional
 
 import typer
-from loguru import logger
 
 from opalwick import __version__
 from opalwick.program.configuration import BadConfiguration, read
@@ -30,26 +26,9 @@
 def serve(configuration: File = None,
           log: Annotated[str, typer.Option(help="The least level that is logged.")] = "INFO") -> None:
     """Runs one scheduler until SIGTERM; SIGHUP has it read its configuration again."""
-    import gevent
-    from gevent.event import Event
+    from opalwick.program.service import serve as run
 
-    from opalwick.program.scheduler import Scheduler
-
-    logger.remove()
-    try:
-        logger.add(sys.stderr, level=log.upper(), backtrace=False, diagnose=False)
-    except ValueError:
-        typer.echo(f"opalwick: --log is malformed: {log!r} is no level", err=True)
-        raise typer.Exit(2) from None
-    stop, again = Event(), Event()
-    # before the configuration is read: one that changes meanwhile is read again
-    for number, event in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGHUP, again)):
-        gevent.signal_handler(number, event.set)
-    scheduler = Scheduler(_read(configuration), stop, again, lambda: read(os.environ, configuration))
-    # what is there now stays: later collections look at what came since
-    gc.collect()
-    gc.freeze()
-    scheduler.run()
+    raise typer.Exit(run(configuration, log))
 
 
 @app.command()
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import json
+import os
 import signal
 import subprocess
 import sys
@@ -111,7 +112,7 @@
 def test_at_the_brim_idle_clients_make_room_and_busy_ones_do_not(tmp_path) -> None:
     served = Served(tmp_path, DONE, DONE, limits={"sockets": 40})
     most = served.scheduler.limits.clients
-    kept = served.ask(post())                   # a usual client, idle for longer than those that ask for nothing
+    kept = served.ask(post())                   # a usual client, idle for longer than the others
     trace = [first(kept)]
     idle = [served.ask(READY) for _ in range(most - 1)]
     assert [first(sock) for sock in idle] == ["HTTP/1.1 200 OK"] * (most - 1)
@@ -227,7 +228,8 @@
     place = listen.getsockname()
     listen.close()
     configuration(tmp_path, None, there, listen="%s:%d" % place)
-    running = subprocess.Popen([sys.executable, "-m", "opalwick", "serve", str(path)])
+    running = subprocess.Popen([sys.executable, "-m", "opalwick", "serve"],
+                               env={**os.environ, "BALANCER_CONFIG": str(path)})
     sock = None
     for _ in range(200):
         gevent.sleep(0.05)
@@ -254,6 +256,12 @@
     assert running.wait(1.0) == 0
 
 
+def test_a_restart_does_not_wait_for_the_parser_of_the_command_line() -> None:
+    """It took a third of the time until the scheduler was ready, in which its clients were turned away."""
+    loads = "import sys, opalwick.program.service; print('typer' in sys.modules, 'pydantic' in sys.modules)"
+    assert subprocess.run([sys.executable, "-c", loads], capture_output=True).stdout == b"False False\n"
+
+
 def test_what_waits_in_the_backlog_when_listening_ends_is_still_taken(tmp_path, monkeypatch) -> None:
     """It counts as accepted: closing the listener would reset it."""
     monkeypatch.setattr(Scheduler, "accept", lambda self, listener: gevent.sleep(5.0))
