--- a/opalwick/program/scheduler.py
+++ b/opalwick/program/scheduler.py
@@ -153,6 +153,8 @@
             self.open -= 1
             self.bodies -= len(call.message.body)
             call.message.body = b""             # the item is remembered until its expiry
+            while sum(c.asked > 0 for c in self.conversations) > self.limits.kept and self.shed():
+                pass
 
     # ---- running
 
@@ -191,7 +193,7 @@
             pass
 
     def shed(self) -> bool:
-        """At the brim: the connection that has waited longest goes, one that has asked for nothing first."""
+        """At the brim: the connection that has waited longest goes, of those that asked least first."""
         waiting = [(wait, c) for c in self.conversations if (wait := c.waits(self.limits.drip)) is not None]
         for _, conversation in sorted(waiting, key=lambda found: found[0]):
             if not conversation.reads():
--- a/opalwick/protocol/clients.py
+++ b/opalwick/protocol/clients.py
@@ -129,24 +129,25 @@
         self.written = Event()                  # an answer was written, or writing is over
         self.over = False
         self.last = False                       # nothing more is taken: what comes is read and dropped
-        self.asked = False                      # for a work item, and in order
+        self.asked = 0                          # times, for a work item and in order
         self.dropped = 0                        # bytes
         self.parser = Parser(httptools.HttpRequestParser, limits, self.whole, self.expects)
 
-    def waits(self, least: float = 0.0) -> tuple[bool, float] | None:
-        """Whether it has asked for something, and since when it waits for the next request, for the rest of
-        one that drips or for the other side's end; None: it may not go, or has not waited for so long.
+    def waits(self, least: float = 0.0) -> tuple[int, float] | None:
+        """How often it has asked, nought, once or more; and since when it waits for the next request, for the
+        rest of one that drips or for the other side's end. None: it may not go, or has not waited so long.
 
-        One that has asked is worth more: whoever comes and says nothing must not take a usual client's place.
+        One that asks again is worth more: whoever comes and says nothing, or asks once and stays, must not
+        take a usual client's place.
         """
         if self.owed or self.over:
             return None
         since = self.connection.idle_since
         if self.last or self.parser.begun:
             since, least = max(since, self.parser.message.first_at), max(least, self.limits.drip)
-        elif not self.asked:
-            least = min(least, self.limits.quiet)
-        return (self.asked, since) if time.monotonic() >= since + least else None
+        elif self.asked < 2:
+            least = min(least, self.limits.once if self.asked else self.limits.quiet)
+        return (min(self.asked, 2), since) if time.monotonic() >= since + least else None
 
     def silent(self) -> bool:
         return not (self.asked or self.owed or self.over or self.parser.begun)
@@ -250,7 +251,7 @@
         call = self.owe(Call(message, self.last, self.changed))
         if ready:                               # which makes no usual client of those that ask so and stay
             return call.answer(200 if self.scheduler.ready() else 503)
-        self.asked = True
+        self.asked += 1
         if self.full or not self.scheduler.room_for(len(message.body)):
             return call.answer(503, b"", *self.scheduler.advice)
         call.taken = True
--- a/opalwick/transport/limits.py
+++ b/opalwick/transport/limits.py
@@ -8,6 +8,7 @@
 class Limits:
     # counts
     clients: int            # connections from clients
+    kept: int               # of those, for clients that have asked for something
     spare: int              # beyond those, to tell a client that it is deferred
     workers: int            # connections to workers
     pipelined: int          # requests of one connection that may be unanswered
@@ -26,6 +27,7 @@
     request: float          # from a later request's first byte to its last
     drip: float             # past this a request that is not whole may make room for others, at the brim
     quiet: float            # past this a connection that has asked for nothing yet may
+    once: float             # past this one that asked once and stayed may
     idle_client: float      # a client's connection between requests
     write: float            # a client that does not read its answer
     linger: float           # a client that neither closes nor sends after its last answer
@@ -53,7 +55,10 @@
     # but no more clients than may each hold a body that has not come whole, in a sixth of the memory
     clients = max(4, min((room - spare) // 2, int(memory / 6 / (body + 2 * ring))))
     return Limits(
-        clients=clients, spare=spare, workers=room - spare - clients, pipelined=8,
+        # clients hold no more than a third of the descriptors for what they ask: those that ask once and stay
+        # would leave the others none, and these could not even connect
+        clients=clients, kept=min(sockets // 4, 3 * clients // 4), spare=spare,
+        workers=room - spare - clients, pipelined=8,
         # outside it costs the scheduler nothing; one over it is tried again by its kernel a second later
         backlog=1024,
         # some kilobytes each, with their greenlets: an eighth of the memory
@@ -68,7 +73,7 @@
         request=5.0, drip=1.0, idle_client=75.0, write=5.0, linger=0.2,
         # one that has said nothing whole is owed an end within three seconds of its connecting, of which some
         # may pass before it is accepted; a usual client connects to ask at once, within a trip or two
-        first=2.0, quiet=0.1,
+        first=2.0, quiet=0.1, once=0.3,
         # a body of 60 MB has to pass within six seconds, and an end that nobody waits for is no harm
         dropped=80 << 20, leaving=4.0,
         # clearly before the worker closes it: a request that crosses the close may have run
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -110,9 +110,11 @@
 
 
 def test_at_the_brim_idle_clients_make_room_and_busy_ones_do_not(tmp_path) -> None:
-    served = Served(tmp_path, DONE, DONE, limits={"sockets": 40})
+    served = Served(tmp_path, DONE, DONE, DONE, limits={"sockets": 40})
     most = served.scheduler.limits.clients
     kept = served.ask(post())                   # a usual client, idle for longer than the others
+    first(kept)
+    kept.sendall(post())
     trace = [first(kept)]
     idle = [served.ask(READY) for _ in range(most - 1)]
     assert [first(sock) for sock in idle] == ["HTTP/1.1 200 OK"] * (most - 1)
@@ -133,6 +135,21 @@
     served.stop()
 
 
+def test_those_that_ask_once_and_stay_leave_the_others_room(tmp_path) -> None:
+    """r5ea213: they held all that clients may hold; a fifth of the usual tries could not connect."""
+    served = Served(tmp_path, *[DONE] * 8, limits={"sockets": 40})
+    usual = served.ask(post())
+    stay = [served.ask(post()) for _ in range(served.scheduler.limits.kept)]
+    gevent.sleep(0.4)
+    for _ in range(2):
+        first(usual)
+        usual.sendall(post())
+    trace = [first(usual), stay[0].recv(99)[:12].decode(), stay[0].recv(9).decode()]
+    assert trace == ["HTTP/1.1 200 OK | 7", "HTTP/1.1 200", ""]
+    assert len(served.scheduler.conversations) == served.scheduler.limits.kept
+    served.stop()
+
+
 def test_a_place_that_is_still_held_is_waited_for(tmp_path) -> None:
     before = gevent.socket.socket()
     before.bind(("127.0.0.1", 0))
