A break after an answer has begun is the worker's own, also on a kept connection

By reading: 'lost' or an answer cut short on a kept connection passed as one that broke as it was used (protocol/workers.py run(), where a whole message no longer counts as begun).

--- a/opalwick/protocol/workers.py
+++ b/opalwick/protocol/workers.py
@@ -115,9 +115,10 @@
         finally:
             outcome, load, result = ended
             # told before the connection goes back, so that nothing that waits holds up the outcome
-            kept = connection.used > 1 and not self.answer.begun
-            if outcome is not Outcome.BROKEN or kept:
-                self.pool.learn(connection, outcome is not Outcome.BROKEN)
+            answered = self.answer.begun or self.answer.headed
+            kept = connection.used > 1 and not answered and outcome is Outcome.BROKEN
+            if kept or answered:
+                self.pool.learn(connection, not kept)
             self.tell("ended", outcome, bool(self.fault), load, result, kept)
             self.connection = None
             self.finish(connection)
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -43,7 +43,7 @@
             return " ".join([kind, *map(str, fields)])
         outcome, _, load, result, kept = (*fields, False, (), b"", False)[:5]
         return (f"{outcome.name}{f' {load}' if load else ''}{f' {result}' if result else ''}"
-                f"{' on a kept connection' if kept and outcome.name == 'BROKEN' else ''}")
+                f"{' on a kept connection' if kept else ''}")
 
     def closes(self) -> str:
         return f"{self.stand.connections} connections, {self.pool.open} open"
@@ -174,6 +174,10 @@
         gevent.sleep(0.5 * errand.pool.idle + 0.03)
         errand.go()
     assert 0.2 < learnt < 0.3 and learnt < errand.pool.idle < 1.2 * learnt
+    errand = Errand(chunked(DONE), chunked('{"id":"c1","state":"lost"}'))
+    errand.go()
+    errand.go()                                 # the worker answered: that one is its own
+    assert errand.lines == [done, "BROKEN"] and errand.pool.idle == errand.pool.longest
 
 
 def test_at_the_brim_idle_connections_go_and_then_nothing_is_sent() -> None:
