--- a/opalwick/transport/limits.py
+++ b/opalwick/transport/limits.py
@@ -85,7 +85,7 @@
         watch=max(1.0, min(ask_every, 60.0)), silent=1.0,
         # what such a call has to tell counts as told after six
         queued=5.0,
-        # connections come for up to 0.4 s after SIGTERM, but clients that have no other scheduler are served
-        # for as long as what comes may well end; and those that have one move on before its own restart,
-        # which where schedulers restart in turn comes no sooner than this one may be killed
+        # connections come for up to 0.4 s after SIGTERM, but clients that go on asking are served for as long
+        # as what comes may well end; and those that have another scheduler move on before its own restart,
+        # which where they restart in turn comes no sooner than this one may be killed
         closing=min(leave, max(0.5, leave - 0.9)), leave=leave)
