--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -62,8 +62,7 @@
         if form is not ListForm.CACHED and self.asked:
             self.asked, self.subscribed = False, form is not ListForm.FAILED
             self.refused = 0 if self.subscribed else self.refused + 1
-            # calls wait in one slow queue for all: the pause doubles, spread by chance, and stays under
-            # half of the time after which a scheduler that has not asked is deemed to know
+            # one slow queue for all: it doubles, by chance, under half of the time until it is deemed to know
             self.ask_at = self.now + min(0.5 * 2 ** self.refused * (0.5 + self.chance.draw()),
                                          0.4 * self.terms.ask_every)
         elif form is ListForm.FAILED:
@@ -452,7 +451,9 @@
                 # 1: no note that it began: others hold every slot, whatever the last report said
                 self.seen_others(ho.worker, max(ho.worker.others, self.room(ho.worker)))
         best = max(self.prospect(wi, ho.worker, ho) for ho in live)
-        if wi.category.effect is Effect.RERUNNABLE and len(wi.hand_offs) < self.terms.hand_offs:
+        # a ticketed one, within its group, only when the note is long overdue: its connection fell silent
+        late = self.terms.tells_start and all(self.now - ho.sent_at > max(0.3, 3 * ho.wait) for ho in live)
+        if wi.category.effect is Effect.RERUNNABLE or late:
             w = self.choose(wi)
             # a move must promise clearly more, as the place is given up; and more yet where no note tells
             if w is not None and self.prospect(wi, w) > best + (0.03 if self.terms.tells_start else 0.25):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -129,3 +129,15 @@
     list(bench.balancer.decisions())
     bench.lines.append(f"x is out at a worker three seconds old: {len(bench.items['x'].hand_offs) == 1}")
     bench.matches("new_fleet")
+
+
+def test_a_ticketed_item_without_a_note_moves_late_and_within_its_group() -> None:
+    """A connection that fell silent held it until its expiry, though its group discards a repeat."""
+    for zones in ("0001", "0111"):
+        bench = Bench("ABCD", [category(Effect.TICKETED, Group.ZONE)])
+        bench.list(ListForm.FULL, zones, A=Phase.READY, B=Phase.DRAINING, C=Phase.DRAINING, D=Phase.DRAINING)
+        bench.take("x")
+        bench.pull()
+        bench.list(ListForm.FULL, zones, A=Phase.READY, B=Phase.READY, C=Phase.READY, D=Phase.READY)
+        bench.wait(0.9, f"workers in zones {zones}")
+        bench.matches(f"ticketed_silent_{zones}")
