--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -1,7 +1,7 @@
 """All decisions of opalwick. The types of its inputs and decisions are defined in `interface.py`.
 
-How to call it: one Balancer a scheduler. Set the time with clock(), hand in what happened (listed, taken,
-left, ended, began, progressed, reported, told, summed), which only updates what is known, then pull
+How to call it: one Balancer a scheduler. Set the time with clock(), hand in what happened (listed, moved,
+taken, left, ended, began, progressed, reported, told, summed), which only updates what is known, then pull
 decisions() until none is left; each decision counts as carried out once it is pulled.
 
 The ordinary path is the design's: a random worker, skips, blocks, cyclic-row copies, cancels at the first
