--- a/opalwick/program/configuration.py
+++ b/opalwick/program/configuration.py
@@ -30,12 +30,12 @@
     terms: Terms
     names: Names
     limits: Limits
-    given: dict[str, str]       # as it was read, but for the list: path and text
+    given: dict[str, Any]       # as it was read, but for what is new each time
 
     def changed(self, other: Configuration) -> list[str]:
-        """The paths that differ; the seed is new each time."""
-        paths = (self.given.keys() | other.given.keys()) - {"seed"}
-        return sorted(path for path in paths if self.given.get(path) != other.given.get(path))
+        """The paths that differ."""
+        ours, theirs = flat(self.given), flat(other.given)
+        return sorted(path for path in ours.keys() | theirs.keys() if ours.get(path) != theirs.get(path))
 
 
 def _take(given: Mapping[str, Any], key: str, kind: type, default: Any = None) -> Any:
@@ -106,4 +106,4 @@
         peers=[_address(peer, f"peers.{i}") for i, peer in enumerate(peers)], seed=seed_number,
         known=_take(given, "known", dict, {"seq": 0, "whole": True, "hosts": []}),
         terms=terms, names=names, limits=budgets,
-        given=flat({key: value for key, value in given.items() if key != "known"}))
+        given={key: value for key, value in given.items() if key not in ("known", "seed")})
--- a/opalwick/program/main.py
+++ b/opalwick/program/main.py
@@ -14,14 +14,6 @@
 File = Annotated[Optional[str], typer.Argument(help="The configuration; else BALANCER_CONFIG names it.")]
 
 
-def _read(path: str | None):
-    try:
-        return read(os.environ, path)
-    except BadConfiguration as problem:
-        typer.echo(f"opalwick: {problem}", err=True)
-        raise typer.Exit(2) from None
-
-
 @app.command()
 def serve(configuration: File = None,
           log: Annotated[str, typer.Option(help="The least level that is logged.")] = "INFO") -> None:
@@ -34,7 +26,11 @@
 @app.command()
 def check(configuration: File = None) -> None:
     """Reads and checks a configuration, and prints what it comes to."""
-    found = _read(configuration)
+    try:
+        found = read(os.environ, configuration)
+    except BadConfiguration as problem:
+        typer.echo(f"opalwick: {problem}", err=True)
+        raise typer.Exit(2) from None
     typer.echo(f"{found.name}: listens on {found.listen[0]}:{found.listen[1]}, "
                f"{len(found.terms.categories)} categories, {len(found.peers)} schedulers, "
                f"{found.limits.clients} client and {found.limits.workers} worker connections")
--- a/opalwick/program/scheduler.py
+++ b/opalwick/program/scheduler.py
@@ -153,7 +153,9 @@
             self.open -= 1
             self.bodies -= len(call.message.body)
             call.message.body = b""             # the item is remembered until its expiry
-            while sum(c.asked > 0 for c in self.conversations) > self.limits.kept and self.shed():
+            # they are counted only where there are so many connections at all
+            while (len(self.conversations) > self.limits.kept
+                   and sum(c.asked > 0 for c in self.conversations) > self.limits.kept and self.shed()):
                 pass
 
     # ---- running
