--- a/opalwick/lab/commands.py
+++ b/opalwick/lab/commands.py
@@ -140,8 +140,6 @@
         )
     if front not in ("http", "processor"):
         raise fail(f"--front: {front!r} is neither http nor processor")
-    if front == "processor" and clock == "sockets":
-        raise fail("--front: processor runs on the virtual clock only")
     if clock == "sockets" and found.schedulers > 16:
         raise fail(f"--clock: sockets on one machine bear 16 schedulers, the day has {found.schedulers}")
     try:
@@ -237,6 +235,7 @@
     minutes: Annotated[float, typer.Option(help="How long to search.")],
     seed: Seed = 1,
     days: Annotated[int, typer.Option(help="So many at most; 0: any.")] = 0,
+    front: Annotated[str, typer.Option(help="http or processor, as in `run`.")] = "http",
     out: Annotated[Path, typer.Option(help="Where bad days are kept.")] = Path("found"),
     jobs: Annotated[int, typer.Option(help="Processes at once; 0: as many as cores.")] = 0,
 ) -> None:
@@ -247,8 +246,10 @@
 
     if not 0 < minutes < 1e4:
         raise fail(f"--minutes: {minutes:g} is no time to search")
+    if front not in ("http", "processor"):
+        raise fail(f"--front: {front!r} is neither http nor processor")
     found = []
-    for one in search(read(day), seed, minutes, days, jobs):
+    for one in search(read(day), seed, minutes, days, jobs, front):
         found.append(one)
         if one["broken"]:
             why = one.get("problem") or "; ".join(b["why"] for b in one["breaches"][:2])
--- a/opalwick/lab/experiment.py
+++ b/opalwick/lab/experiment.py
@@ -43,7 +43,7 @@
     else:
         from opalwick.lab.sockets.stage import play as play_sockets
 
-        history = play_sockets(day, seed, None if out is None else out / "logs")
+        history = play_sockets(day, seed, None if out is None else out / "logs", front)
     report, drawn = judged(history)
     for key in ("exits", "rude", "rude_unanswered", "late_ms"):
         if key in history:
--- a/opalwick/lab/hunt.py
+++ b/opalwick/lab/hunt.py
@@ -44,10 +44,10 @@
     )
 
 
-def trial(text: str, seed: int, number: int) -> dict[str, Any]:
+def trial(text: str, seed: int, number: int, front: str = "http") -> dict[str, Any]:
     day = drawn(parse(text, "day"), seed, number)
-    ours, _ = judged(play(day, number))
-    best, _ = judged(play(day, number, "oracle"))
+    ours, _ = judged(play(day, number, front=front))
+    best, _ = judged(play(day, number, "oracle", front=front))
     return {
         "number": number,
         "figure": ours["figure"],
@@ -61,7 +61,9 @@
     }
 
 
-def hunt(day: Day, seed: int, minutes: float, days: int = 0, jobs: int = 0) -> Iterator[dict[str, Any]]:
+def hunt(
+    day: Day, seed: int, minutes: float, days: int = 0, jobs: int = 0, front: str = "http"
+) -> Iterator[dict[str, Any]]:
     """Trials as they end, for so long or so many. One that fails tells why under "problem"."""
     text, until, number = write(day), time.monotonic() + 60.0 * minutes, 0
     jobs = jobs or os.cpu_count() or 1
@@ -70,7 +72,7 @@
         while True:
             while len(out) < jobs and time.monotonic() < until and (not days or number < days):
                 number += 1
-                out[pool.submit(trial, text, seed, number)] = number
+                out[pool.submit(trial, text, seed, number, front)] = number
             if not out:
                 return
             done, _ = wait(out, return_when=FIRST_COMPLETED)
--- a/opalwick/lab/sockets/fleet.py
+++ b/opalwick/lab/sockets/fleet.py
@@ -56,6 +56,7 @@
             served.say(_text("400 Bad Request"))
             return
         category, work, zone = asked
+        served.plain = b"x-plain" in message.headers
         kind = self.world.day.categories[category]
         key = message.headers.get(b"idempotency-key", b"").decode("latin-1") or None
         way = self.world.way(zone, self.worker.zone, self.way)
@@ -89,7 +90,7 @@
         self.worker.arrive(job)
         if served.over:  # closed on its way: the close arrives after it
             self.worker.drop(job)
-        elif job.state in ("waiting", "running") and not self.worker.stopped:
+        elif job.state in ("waiting", "running") and not self.worker.stopped and not served.plain:
             served.say(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             served.headed = True
 
@@ -98,6 +99,8 @@
             return
         if what == "broke":
             return served.close(with_reset=True)
+        if served.plain:
+            return self.tell_plainly(served, what, *fields)
         headed = served.headed
         if what == "turned" and not headed:
             load = ",".join(f"{name}={x:g}" for name, x in fields[0].items())
@@ -124,6 +127,19 @@
             served.carries, served.headed = None, False
         served.say(data)
 
+    def tell_plainly(self, served: Served, what: str, *fields: Any) -> None:
+        """As an ordinary HTTP server answers: the status tells, and nothing before the end."""
+        if what not in _STATES:
+            return
+        load = "X-Backend-Load: " + ",".join(f"{name}={x:g}" for name, x in fields[0].items())
+        served.carries = None
+        if what == "done":
+            served.say(_text("200 OK", fields[1].encode(), load))
+        elif what == "turned":
+            served.say(_text("503 Service Unavailable", b"", "X-Unprocessed: 1", load))
+        else:
+            served.say(_text("500 Internal Server Error", b"", load))
+
     def ended(self, served: Served) -> None:
         if (job := served.carries) is not None and job.worker is not None:
             self.world.agenda.after(0.0, self.worker.drop, job)
--- a/opalwick/lab/sockets/stage.py
+++ b/opalwick/lab/sockets/stage.py
@@ -43,8 +43,8 @@
 
 
 class Stage:
-    def __init__(self, day: Day, seed: int, logs: Path) -> None:
-        self.day, self.logs = day, logs
+    def __init__(self, day: Day, seed: int, logs: Path, front: str = "http") -> None:
+        self.day, self.logs, self.front = day, logs, front
         self.agenda = RealAgenda()
         self.world = World(day, seed, self.agenda)
         self.ports = self.world.draws.of(f"ports/{os.getpid()}/{time.time_ns()}")
@@ -52,7 +52,14 @@
         self.places: list[Address] = [(HOST, free_port(self.ports)) for _ in range(n)]
         self.peer_ports = [free_port(self.ports, socket.SOCK_DGRAM) for _ in range(n)]
         self.killed: list[list[float]] = [[] for _ in range(n)]
-        self.clients = SocketClients(self.world, self.places, self.was_killed)
+        self.asked_at = self.places  # where clients ask
+        self.proxies: list[Any] = []
+        if front == "processor":
+            from opalwick.lab.sockets.proxy import ProxyServer
+
+            self.proxies = [ProxyServer(free_port(self.ports), place) for place in self.places]
+            self.asked_at = [(HOST, proxy.server.port) for proxy in self.proxies]
+        self.clients = SocketClients(self.world, self.asked_at, self.was_killed)
         self.world.clients.carrier = self.clients
         self.world.processes = self
         self.servers: dict[str, WorkerServer] = {}
@@ -176,7 +183,7 @@
         self.world.listing.forget(i)
         with open(self.logs / f"s{i}.log", "ab") as log:
             self.running[i] = subprocess.Popen(
-                [sys.executable, "-m", "opalwick", "serve"],
+                [sys.executable, "-m", "opalwick", *self.command(path)],
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
@@ -191,13 +198,26 @@
         self.asked_to_end.discard(i)
         self.waits[i] = gevent.spawn(self.await_ready, i, self.running[i])
 
+    def command(self, path: Path) -> list[str]:
+        if self.front == "http":
+            return ["serve"]
+        file = path.with_suffix(".toml")
+        host, port = self.places[int(path.stem[1:])]
+        file.write_text(f'scheduler = "{path.name}"\nlisten = "{host}:{port}"\n')
+        return ["processor", str(file)]
+
     def await_ready(self, i: int, process: Any) -> bool:
         until = time.monotonic() + READY
         while time.monotonic() < until and process.poll() is None:
             try:
                 with socket.create_connection(self.places[i], timeout=0.5) as sock:
-                    sock.sendall(b"GET /-/ready HTTP/1.1\r\nHost: lab\r\n\r\n")
-                    if sock.recv(4096).startswith(b"HTTP/1.1 200"):
+                    if self.front == "processor":
+                        sock.sendall(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\4\0\0\0\0\0")
+                        ready = len(sock.recv(9)) == 9  # its settings
+                    else:
+                        sock.sendall(b"GET /-/ready HTTP/1.1\r\nHost: lab\r\n\r\n")
+                        ready = sock.recv(4096).startswith(b"HTTP/1.1 200")
+                    if ready:
                         if self.running[i] is process:
                             self.world.ledger.note(self.agenda.now, "up", self.world.names[i])
                             self.world.clients.front.back(i)
@@ -219,9 +239,10 @@
         self.world.clients.front.lost(i)
 
     def down(self, i: int) -> None:
-        for sock in self.clients.kept[i]:
-            sock.close()
-        self.clients.kept[i].clear()
+        if not self.proxies:  # a proxy stays, with its clients' connections
+            for sock in self.clients.kept[i]:
+                sock.close()
+            self.clients.kept[i].clear()
         self.world.ledger.note(self.agenda.now, "down", self.world.names[i])
         self.world.listing.drop(i)
 
@@ -285,6 +306,9 @@
             list_.server.die()
         for relay in self.relays.values():
             relay.refuse(True)
+        for proxy in self.proxies:
+            proxy.server.die()
+            proxy.client.lose()
         for word in self.words.values():
             word.sock.close()
 
@@ -321,17 +345,20 @@
                     left.wait()
 
 
-def play(day: Day, seed: int, logs: Path | None = None) -> dict[str, Any]:
+def play(day: Day, seed: int, logs: Path | None = None, front: str = "http") -> dict[str, Any]:
     """The history of one day on sockets; it takes as long as the day. NotReady where none comes up."""
     with tempfile.TemporaryDirectory(prefix="opalwick-") as kept:
-        stage = Stage(day, seed, logs or Path(kept))
+        stage = Stage(day, seed, logs or Path(kept), front)
         stage.logs.mkdir(parents=True, exist_ok=True)
         stage.play()
     network, agenda = day.network, stage.agenda
     longest = max(network.same, network.cross) * (1.0 + network.jitter) + slowest_link(day)
     head = stage.world.head("opalwick", "sockets", SLACK + 4.0 * longest, HELD + float(network.connect))
+    if front == "processor":
+        head["rules"]["cancel"] = False  # as on the virtual clock
     return {
         **head,
+        "front": front,
         "void": agenda.void(),
         "exits": stage.exits,
         "rude": stage.clients.rude,
--- a/opalwick/lab/sockets/wire.py
+++ b/opalwick/lab/sockets/wire.py
@@ -69,6 +69,7 @@
         self.carries: Any = None  # what is being answered on it
         self.asked = 0
         self.headed = False  # an answer's head is out, its end is not
+        self.plain = False  # it wants one plain answer
         self.over = False
         sock.setsockopt(plain.IPPROTO_TCP, plain.TCP_NODELAY, 1)
         gevent.spawn(self.read)
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -183,3 +183,16 @@
     assert found["taken"] > 50 and found["figure"] > 0.6
     rows = [row[1] for row in history["ledger"].rows]
     assert rows.count("down") == 1 and rows.count("up") == 1 and "swallowed" in rows
+
+
+def test_a_short_day_behind_real_proxies_whose_processor_is_killed() -> None:
+    short = day("scheduler_crash 1.5 1 0.5 0.5", "throttle 0.5 2 0.5 4", fill=0.3)
+    short = msgspec.structs.replace(short, length=Seconds(4.0))
+    history = play(short, 2, front="processor")
+    found, _ = judged(history)
+    if history["void"]:
+        pytest.skip(history["void"])
+    assert sum(found["rules"].values()) == 0, found["breaches"]
+    assert history["exits"] == [] and found["taken"] > 50 and found["figure"] > 0.4
+    arrived = [row[3] for row in history["ledger"].rows if row[1] == "arrived"]
+    assert len(arrived) > len(set(arrived)) > 50  # some went on to another worker through the proxy's retry
