One start and one listener for both fronts

Cause: the processor's start (log, signals, collection) and its listener were second copies of the HTTP front's.

Change: program/service.py prepares and runs either front, program/core.py opens the listener.

--- a/opalwick/processor/front.py
+++ b/opalwick/processor/front.py
@@ -4,8 +4,6 @@
 
 from __future__ import annotations
 
-import gc
-import signal
 import sys
 import time
 from collections.abc import Callable
@@ -23,7 +21,7 @@
 from opalwick.processor.messages import Conversation, Malformed
 from opalwick.program.configuration import BadConfiguration, Configuration
 from opalwick.program.core import Core
-from opalwick.transport.connection import bind
+from opalwick.program.service import prepared, run
 
 PROCESS = "/envoy.service.ext_proc.v3.ExternalProcessor/Process"
 CHECK, WATCH = "/grpc.health.v1.Health/Check", "/grpc.health.v1.Health/Watch"
@@ -195,7 +193,7 @@
         if not settings.proxy.retries:
             c.terms.hand_offs = 1
         super().__init__(c, stop, again, read)
-        self.settings = settings
+        self.settings, self.place = settings, settings.listen
         self.exchange = Exchange(self, settings.proxy, c.limits.work_items)
         self.connections: dict[ProxyConnection, None] = {}
         self.faulty = 0  # streams ended for what came on them
@@ -221,13 +219,6 @@
                 self.rearmed_calls.wait(60.0 if when is None else min(60.0, when - time.monotonic()))
             self.exchange.wake()
 
-    def open(self) -> None:
-        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        bind(self.listener, self.settings.listen)
-        self.place = self.listener.getsockname()
-        self.listener.listen(self.limits.backlog)
-
     def start(self) -> None:
         gevent.spawn(self.forever, self.keep_calls)
         self.accepting = gevent.spawn(self.forever, self.accept)
@@ -270,15 +261,8 @@
 
 def serve(path: str, level: str) -> int:
     """Until SIGTERM; SIGHUP has it read the scheduler's configuration again, as `serve` does."""
-    logger.remove()
-    try:
-        logger.add(sys.stderr, level=level.upper(), backtrace=False, diagnose=False)
-    except ValueError:
-        print(f"opalwick: --log is malformed: {level!r} is no level", file=sys.stderr)
+    if (events := prepared(level)) is None:
         return 2
-    stop, again = Event(), Event()
-    for number, event in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGHUP, again)):
-        gevent.signal_handler(number, event.set)
 
     def reread() -> Configuration:
         try:
@@ -287,11 +271,8 @@
             raise BadConfiguration(str(problem)) from None
 
     try:
-        front = ProcessorFront(read(path, 0), stop, again, reread)
+        front = ProcessorFront(read(path, 0), *events, reread)
     except Faulty as problem:
         print(f"opalwick: {problem}", file=sys.stderr)
         return 2
-    gc.collect()
-    gc.freeze()
-    front.run()
-    return 0
+    return run(front)
--- a/opalwick/program/core.py
+++ b/opalwick/program/core.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import gevent
+from gevent import socket
 from gevent.event import Event
 from loguru import logger
 
@@ -13,7 +14,7 @@
 from opalwick.program.configuration import BadConfiguration, Configuration
 from opalwick.protocol.discovery import Discovery, rows
 from opalwick.routing.reducer import Datagram, Reducer, Timer, Watch
-from opalwick.transport.connection import Address
+from opalwick.transport.connection import Address, bind
 from opalwick.transport.datagrams import Datagrams
 
 
@@ -125,8 +126,12 @@
                 gevent.sleep(0.1)
 
     def open(self) -> None:
-        """The front's listener; before the list is handed in, which may take a while."""
-        raise NotImplementedError
+        """The listener at `place`; before the list is handed in, which may take a while."""
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bind(self.listener, self.place)
+        self.place = self.listener.getsockname()
+        self.listener.listen(self.limits.backlog)
 
     def start(self) -> None:
         """The front's standing greenlets."""
--- a/opalwick/program/scheduler.py
+++ b/opalwick/program/scheduler.py
@@ -14,7 +14,7 @@
 from opalwick.protocol.clients import Call, Conversation, come_back
 from opalwick.protocol.workers import HandingOff
 from opalwick.routing.reducer import Answer, Close, Final, Send
-from opalwick.transport.connection import Connection, bind
+from opalwick.transport.connection import Connection
 from opalwick.transport.pool import Pool
 
 
@@ -29,7 +29,6 @@
         self.out: dict[tuple[bytes, int], HandingOff] = {}
         self.bodies = self.open_count = 0       # bytes, work items: unanswered
         self.closing = False                    # takes nothing new any more
-        self.place = c.listen
         # when the door itself defers: a second, in which a crowd passes, or as long as clients honour
         self.advice = come_back(min(1.0, c.terms.retry_after))
 
@@ -154,13 +153,6 @@
             gevent.sleep(0.25 * self.limits.idle_worker)
             self.pool.sweep()
 
-    def open(self) -> None:
-        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        bind(self.listener, self.configuration.listen)
-        self.place = self.listener.getsockname()
-        self.listener.listen(self.limits.backlog)
-
     def start(self) -> None:
         gevent.spawn(self.forever, self.sweep)
         self.accepting = gevent.spawn(self.forever, self.accept, self.listener)
