Reread: one judgement of blame and of a word's fate, dead state gone

Cause: the exchange had a copy of the workers' list of statuses that blame nobody, both clocks of the lab decided a word's loss, doubling and delay each for themselves, and some fields were written and never read.

Change: blames() in protocol/http.py, Links.fate() in the lab's world, Item.alone() in the exchange; dead state out.

--- a/opalwick/lab/judge.py
+++ b/opalwick/lab/judge.py
@@ -90,7 +90,6 @@
         self.leaving: dict[tuple[str, str], int] = {}  # (scheduler, worker): since when it must know
         self.empty: dict[str, list[tuple[int, bool]]] = {}
         self.downs: dict[str, list[int]] = {}
-        self.ups: dict[str, list[int]] = {}
         self.lates: list[tuple[int, float]] = []  # when the emulator was late, and how much
         self.still: dict[str, list[list[float]]] = {}  # scheduler: when it stood still, from and to
 
@@ -211,7 +210,6 @@
             self.breach("pushed_over", at, "a cold worker fell", None, worker)
 
     def _up(self, at: int, scheduler: str) -> None:
-        self.ups.setdefault(scheduler, []).append(at)
         # the one that comes up knows only its old list until it is told anew
         for key in [key for key in self.leaving if key[0] == scheduler]:
             del self.leaving[key]
--- a/opalwick/lab/proxy.py
+++ b/opalwick/lab/proxy.py
@@ -32,7 +32,7 @@
 class Request:
     """One client's request at the proxy, through all its calls."""
 
-    __slots__ = ("attempt", "call", "hand", "over", "result", "status", "come_back_in")
+    __slots__ = ("attempt", "call", "hand", "over", "result", "status")
 
     def __init__(self, attempt: Try) -> None:
         self.attempt = attempt
--- a/opalwick/lab/sockets/stage.py
+++ b/opalwick/lab/sockets/stage.py
@@ -116,10 +116,7 @@
             draw = self.world.draws.of(f"words/{i}/{j}")
 
             def fate(i: int = i, j: int = j, draw: Any = draw) -> list[float]:
-                lost, doubled, late = draw.random(), draw.random(), draw.random() * links.late
-                if (i, j) in links.apart or lost < self.day.network.loss + links.loss:
-                    return []
-                return [late, late + 0.5 * links.late] if doubled < links.doubled else [late]
+                return links.fate(i, j, draw, self.day.network.loss)
 
             relay.fate = fate
         return relays
--- a/opalwick/lab/virtual.py
+++ b/opalwick/lab/virtual.py
@@ -38,10 +38,6 @@
 Make = Callable[[Terms, int, float, World, int], Reducer]
 
 
-def real(terms: Terms, seed: int, now: float, world: World, scheduler: int) -> Reducer:
-    return Reducer(terms, seed, now)
-
-
 class Hand:
     """A hand-off on its way: the scheduler's end of it."""
 
@@ -337,9 +333,7 @@
 class Stage:
     """All schedulers of a day; what the world asks of carrier and processes."""
 
-    def __init__(
-        self, day: Day, seed: int, make: Make = real, process: type[Scheduler] = Scheduler
-    ) -> None:
+    def __init__(self, day: Day, seed: int, make: Make, process: type[Scheduler] = Scheduler) -> None:
         self.day, self.make, self.process = day, make, process
         self.world = World(day, seed)
         self.world.clients.carrier = self
@@ -382,13 +376,12 @@
     # ---- words
 
     def word(self, sender: Scheduler, to: int, octets: bytes) -> None:
-        links, draw = self.world.links, sender.words
-        lost, doubled, late = draw.random(), draw.random(), draw.random()
-        if (sender.i, to) in links.apart or lost < self.day.network.loss + links.loss:
+        draw = sender.words
+        if not (fate := self.world.links.fate(sender.i, to, draw, self.day.network.loss)):
             return
-        way = self.world.way(sender.zone, to % len(self.day.zones), draw) + late * links.late
-        for more in [0.0, 0.5 * links.late] if doubled < links.doubled else [0.0]:
-            self.world.agenda.after(way + more, self._heard, to, sender.i, octets)
+        way = self.world.way(sender.zone, to % len(self.day.zones), draw)
+        for late in fate:
+            self.world.agenda.after(way + late, self._heard, to, sender.i, octets)
 
     def _heard(self, to: int, peer: int, octets: bytes) -> None:
         if (found := self.running[to]) is not None:
@@ -464,9 +457,6 @@
 HELD = 0.6
 
 
-FRONTS = ("http", "processor")
-
-
 def play(
     day: Day, seed: int, policy: str = "opalwick", make: Make | None = None, front: str = "http"
 ) -> dict[str, Any]:
--- a/opalwick/lab/world/world.py
+++ b/opalwick/lab/world/world.py
@@ -45,6 +45,13 @@
         self.late = 0.0  # seconds that a word may be late, at most
         self.apart: dict[tuple[int, int], int] = {}  # schedulers that do not hear each other
 
+    def fate(self, one: int, other: int, draw: random.Random, loss: float) -> list[float]:
+        """Of a word between two schedulers: by how much each of its copies is late; none: it is lost."""
+        lost, doubled, late = draw.random(), draw.random(), draw.random() * self.late
+        if (one, other) in self.apart or lost < loss + self.loss:
+            return []
+        return [late, late + 0.5 * self.late] if doubled < self.doubled else [late]
+
 
 class World:
     def __init__(self, day: Day, seed: int, agenda: Agenda | None = None) -> None:
--- a/opalwick/processor/exchange.py
+++ b/opalwick/processor/exchange.py
@@ -2,8 +2,7 @@
 
 A call is one request at a proxy, from its head to its end. All calls with one id are one work item. A proxy
 carries one hand-off a call, so the module hands off only as often as calls came (`WorkItem.calls`), and a
-further
-call is what gives it the next hand-off, or the copy.
+further call is what gives it the next hand-off, or the copy.
 
 Free of I/O: times come in, `Call.reply` is called with what to tell, and `next_at` says when `wake` is due.
 """
@@ -17,10 +16,9 @@
 from typing import Any, NamedTuple, Protocol
 
 from opalwick.interface import Category, Customer, Outcome
+from opalwick.protocol.http import blames
 from opalwick.routing.reducer import Answer, Close, Final, Send
 
-_NO_BLAME = (408, 425, 429)  # as in protocol/workers.py: those tell of the moment, not of what was asked
-
 
 class Asked(NamedTuple):
     """What a call's head tells of the work item. Times are seconds on the scheduler's clock."""
@@ -82,16 +80,20 @@
 
 
 class Item:
-    __slots__ = ("id", "category", "expiry_at", "held", "out", "kept", "final", "come_back_in", "since")
+    __slots__ = ("id", "category", "expiry_at", "held", "out", "kept", "final", "come_back_in")
 
-    def __init__(self, id: str, category: Category, expiry_at: float, since: float) -> None:
-        self.id, self.category, self.expiry_at, self.since = id, category, expiry_at, since
+    def __init__(self, id: str, category: Category, expiry_at: float) -> None:
+        self.id, self.category, self.expiry_at = id, category, expiry_at
         self.held: Call | None = None  # waits for its decision
         self.out: dict[int, Call] = {}  # by the hand-off's number
         self.kept: tuple[int, Any, Any, float] | None = None  # decided for a call that is to come: until when
         self.final: Final | None = None
         self.come_back_in = 0.0
 
+    def alone(self) -> bool:
+        """Unanswered, and no call for it is open or expected at once."""
+        return self.held is None and not self.out and self.kept is None and self.final is None
+
 
 class Proxy(NamedTuple):
     """How the proxies in front behave; seconds."""
@@ -148,7 +150,7 @@
                 return self._tell(call, Immediate(504, 0.0, "no time left"))
             if len(self.items) >= self.most:
                 return self._tell(call, Immediate(503, 1.0, "full"))
-            item = call.item = self.items[asked.id] = Item(asked.id, asked.category, asked.expiry_at, now)
+            item = call.item = self.items[asked.id] = Item(asked.id, asked.category, asked.expiry_at)
             item.held = call
             self.at(asked.expiry_at + 0.05, self._expired, item)
             self.core.put(
@@ -201,7 +203,7 @@
             self._end(call, Outcome.FINISHED, True, reported.figures)
             call.reply(Go(False))
             return True
-        blamed = 400 <= status < 500 and status not in _NO_BLAME
+        blamed = blames(status)
         if reported.not_sent:
             outcome = Outcome.NO_CONNECTION
         elif reported.unprocessed and status in (503, 504):
@@ -210,12 +212,10 @@
             outcome = Outcome.TIMED_OUT if status == 504 else Outcome.ERROR
         self._end(call, outcome, blamed, reported.figures)
         if blamed:
-            item.final = (
-                item.final or Final.FINISHED
-            )  # the client's own: it hears so, and nobody else is asked
+            # the client's own: it hears so, and nobody else is asked
+            item.final = item.final or Final.FINISHED
         elif item.final is None and not item.out and item.held is None:
-            # the module says now whether it would go on: the proxy calls again only for a worker that is
-            # decided
+            # the module says now whether it would go on: the proxy calls again for a decided worker only
             self.core.put("asked", item.id)
         if item.final is Final.DEFERRED and not item.out:
             call.reply(self._immediate(item))
@@ -333,11 +333,11 @@
 
     def _alone(self, item: Item) -> None:
         """If no call is left, the proxy may still come again; after that its client is taken to be gone."""
-        if item.held is None and not item.out and item.kept is None and item.final is None:
-            self.at(self.core.now() + self.proxy.again_within, self._left, item, self.core.now())
+        if item.alone():
+            self.at(self.core.now() + self.proxy.again_within, self._left, item)
 
-    def _left(self, item: Item, since: float) -> None:
-        if item.held is None and not item.out and item.kept is None and item.final is None:
+    def _left(self, item: Item) -> None:
+        if item.alone():
             item.final = Final.WRITTEN_OFF
             self.core.put("left", item.id)
             self._forget(item)
--- a/opalwick/processor/front.py
+++ b/opalwick/processor/front.py
@@ -227,7 +227,7 @@
         while True:
             sock, _ = self.listener.accept()
             if len(self.connections) >= self.settings.limits.connections:
-                # the proxy tries again elsewhere or later; one in ten seconds is worth a line
+                # the proxy tries again elsewhere or later
                 logger.warning("a proxy's connection is turned away: {} are open", len(self.connections))
                 sock.close()
                 gevent.sleep(0.1)
--- a/opalwick/protocol/http.py
+++ b/opalwick/protocol/http.py
@@ -115,6 +115,14 @@
         self.whole(message)
 
 
+_NO_BLAME = (408, 425, 429)     # those tell of the moment, not of what was asked
+
+
+def blames(status: int) -> bool:
+    """Whether an answer with this status says that the request itself is at fault."""
+    return 400 <= status < 500 and status not in _NO_BLAME
+
+
 REASONS = {100: "Continue", 200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
            408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 414: "URI Too Long",
            431: "Request Header Fields Too Large", 503: "Service Unavailable", 504: "Gateway Timeout"}
--- a/opalwick/protocol/workers.py
+++ b/opalwick/protocol/workers.py
@@ -9,7 +9,7 @@
 import httptools
 
 from opalwick.interface import Outcome
-from opalwick.protocol.http import Malformed, Message, Parser
+from opalwick.protocol.http import Malformed, Message, Parser, blames
 from opalwick.transport.connection import Address, Connection
 from opalwick.transport.limits import Limits
 from opalwick.transport.pool import NoRoom, Pool
@@ -17,8 +17,6 @@
 _STATES = {"done": Outcome.FINISHED, "failed": Outcome.ERROR,
            "returned": Outcome.FULL, "lost": Outcome.BROKEN}
 
-_NO_BLAME = (408, 425, 429)     # those tell of the moment, not of what was asked
-
 
 def figures(load: Any, names: Sequence[str]) -> tuple[float, ...]:
     """A load report, as an object or as text, in the order of the names.
@@ -193,7 +191,7 @@
         load = figures(last.headers.get(b"x-backend-load"), self.names)
         if last.status == 200:
             return Outcome.BROKEN, load, b""
-        if 400 <= last.status < 500 and last.status not in _NO_BLAME:
+        if blames(last.status):
             self.fault = last.status
         never_ran = last.status in (503, 504) and last.headers.get(b"x-unprocessed") == b"1"
         return (Outcome.FULL if never_ran else Outcome.ERROR), load, b""
