Reread: three faults that set one figure of a worker share their steps

Cause: wrong_reports, throttle and resets were the same steps but for the figure's name. Change: one generator that they return.

--- a/opalwick/lab/faults.py
+++ b/opalwick/lab/faults.py
@@ -56,6 +56,16 @@
 # ---- workers
 
 
+def _set(world: World, fault: Fault, draw: random.Random, figure: str) -> Steps:
+    """A figure of the workers that are hit is the fault's size while it lasts, and nought after it."""
+    hit = _workers(world, fault, draw)
+    for w in hit:
+        setattr(w, figure, _size(fault))
+    yield
+    for w in hit:
+        setattr(w, figure, 0.0)
+
+
 @fault(4.0, "workers run SIZE times slower", 2.0, 10.0)
 def slow(world: World, fault: Fault, draw: random.Random) -> Steps:
     hit, times = _workers(world, fault, draw), _size(fault)
@@ -104,32 +114,17 @@
 
 @fault(2.0, "load reports are made up, up to SIZE times the slots", 1.0, 4.0)
 def wrong_reports(world: World, fault: Fault, draw: random.Random) -> Steps:
-    hit = _workers(world, fault, draw)
-    for w in hit:
-        w.lying = _size(fault)
-    yield
-    for w in hit:
-        w.lying = 0.0
+    return _set(world, fault, draw, "lying")
 
 
 @fault(4.0, "workers take SIZE requests a second, and turn the others away", 1.0, 8.0)
 def throttle(world: World, fault: Fault, draw: random.Random) -> Steps:
-    hit = _workers(world, fault, draw)
-    for w in hit:
-        w.rate = _size(fault)
-    yield
-    for w in hit:
-        w.rate = 0.0
+    return _set(world, fault, draw, "rate")
 
 
 @fault(0.3, "workers reset a share SIZE of the connections as a request arrives", 0.05, 0.9)
 def resets(world: World, fault: Fault, draw: random.Random) -> Steps:
-    hit = _workers(world, fault, draw)
-    for w in hit:
-        w.resets = _size(fault)
-    yield
-    for w in hit:
-        w.resets = 0.0
+    return _set(world, fault, draw, "resets")
 
 
 @fault(2.0, "workers crash and are back, cold, after SIZE seconds", 0.5, 6.0)
