--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -25,7 +25,7 @@
 
 from opalwick.chance import Chance
 from opalwick.interface import (NEVER_RAN, Block, Cancel, Customer, Decision, Defer, Effect, Group,
-                                HandOff, ListForm, Outcome, Phase, Report, Row, Send, Subscribe, Sum, Tell,
+                                HandOff, ListForm, Outcome, Phase, Report, Reports, Row, Send, Subscribe, Sum, Tell,
                                 Terms, Wake, Worker, WorkItem, WriteOff, Zone)
 from opalwick.sums import Sums, older
 
@@ -50,15 +50,20 @@
         self.serial, self.woken = 0, -1.0       # woken: when the next wake is due, as far as asked for
         self.firsts, self.copies, self.rate, self.taken_at = 0, 0, 0.0, now
         self.kinds: dict[int, Kind] = {}
+        self.largest = 4.0                      # slots that a worker is taken to have
         self.mean_run = sum(c.run for c in terms.categories) / max(1, len(terms.categories))
         self.noise = 0.5                        # mean square of a guessed run's log error; rough at first
         self.active: dict[Worker, None] = {}    # workers that hold work of ours
         self.zones: dict[int, Zone] = {}        # of the workers, each with a scheduler that keeps its sums
         self.sums = Sums()                      # as a keeper
         self.tells = terms.may_tell and terms.schedulers > 1
+        self.blind = terms.reports is not Reports.ANSWERS and terms.tells_start
+        self.full = self.queue = 0.0            # share of sends with no slot free; work items ahead then
         self.others = 0.0                       # mean of others' work items over the workers
         # where a work item's CPU is limited a draw looks at fewer: each worker costs about 1.2 us of it
         self.most = max(4, min(16, int(terms.cpu / 1.2e-6))) if terms.cpu else 16
+        self.trip = self.NOTE_IN / 3.0          # a low quartile of the times from a send to its start note
+        self.note_in = self.NOTE_IN
         self.early = max(0.01, 2.0 * terms.tick)  # answers go out this long before the expiry: a few ticks
         self.value = self.work = 0.0            # recent means of a work item's credit and work
         self.subscribed, self.ask_at, self.asked, self.refused = not terms.must_ask, now, False, 0
@@ -105,6 +110,9 @@
         # a client's own repeat has less time left than a first try: its due time counts from that first try
         first_at = min(wi.taken_at, wi.expiry_at - c.allowance)
         wi.work = wi.hint if 0 < wi.hint < c.expiry else c.run
+        if wi.slots > self.largest:
+            self.largest = wi.slots
+            self.resize()
         wi.due_at = min(first_at + c.due + c.stretch * wi.work, wi.expiry_at)
         wi.worth = c.credit * (wi.work if self.terms.by_work else 1.0)
         pull = 0.01 if self.value else 1.0      # over about the last hundred, so that no heavy one sets it
@@ -169,9 +177,28 @@
             return
         w, ho.began_at = ho.worker, self.now
         self.sign(w)
-        if self.now - ho.sent_at < self.NOTE_IN:    # a slot was free: others hold no more than the rest
+        took = self.now - ho.sent_at
+        # a quartile, as it must not see the items that waited: so many steps down for each one up
+        self.trip = max(0.2 * self.early, self.trip * (1.03 if took > self.trip else 0.91))
+        self.note_in = min(self.NOTE_IN, 3.0 * self.trip + self.early)
+        self.waited(w, took)
+        if took < self.note_in:                 # a slot was free: others hold no more than the rest
             self.seen_others(w, min(w.others, max(0.0, self.room(w))))
 
+    def waited(self, w: Worker, took: float, began: bool = True) -> None:
+        """1: where no answer brings a report, what start notes tell of the others: how often none came at
+        once, and by how long it took then, how many were ahead."""
+        if not self.blind:
+            return
+        late = took >= self.note_in
+        self.full += (late - self.full) * 0.05
+        if late and began:
+            ahead = took * w.slots / (0.6 * self.mean_run * w.pace)     # as wait_at has it
+            self.queue += (ahead - self.queue) * 0.05
+            self.seen_others(w, self.room(w) + ahead)   # as many wait behind as waited ahead
+        # a Poisson number with this mean fills the slots about so often
+        self.others = self.largest * min(1.0, 1.25 * math.sqrt(self.full)) + self.full * self.queue
+
     def progressed(self, ho: HandOff, share: float) -> None:
         if not 0 < share <= 1:                  # an odd note is passed over
             return
@@ -281,8 +308,8 @@
         self.mean_run = sum(c.run for c in self.terms.categories) / len(self.terms.categories)
 
     def resize(self) -> None:
-        # two until any report tells: the least that lets two run together
-        most = max((kind.size for kind in self.kinds.values() if kind.reports), default=2.0)
+        # until any report tells: what some item needs, and four, as few machines have fewer cores
+        most = max((kind.size for kind in self.kinds.values() if kind.reports), default=self.largest)
         for w in self.listed_all:
             kind = self.kinds[w.kind]
             # fewer reports may all have come from full workers
@@ -486,7 +513,7 @@
             # a front that brings hand-offs one by one can take none back
             return self.at(self.now + max(0.5, live[0].run), wi)
         for ho in live:
-            if self.terms.tells_start and self.now - ho.sent_at >= self.NOTE_IN:
+            if self.terms.tells_start and self.now - ho.sent_at >= self.note_in - 1e-6:
                 # 1: no note that it began: others hold every slot, whatever the last report said
                 self.seen_others(ho.worker, max(ho.worker.others, self.room(ho.worker)))
         best = max(self.prospect(wi, ho.worker, ho) for ho in live)
@@ -496,6 +523,8 @@
             w = self.choose(wi)
             # a move must promise clearly more, as the place is given up; and more yet where no note tells
             if w is not None and self.prospect(wi, w) > best + (0.03 if self.terms.tells_start else 0.25):
+                for ho in live:
+                    self.waited(ho.worker, self.now - ho.sent_at, False)
                 self.undo.extend(live)
                 yield self.hand(wi, w, False)
                 return
@@ -548,7 +577,7 @@
                 return 0.0
             if ho.began_at:
                 wait, run = 0.0, max(0.0, run - (self.now - ho.began_at))
-            elif self.terms.tells_start and out >= self.NOTE_IN:
+            elif self.terms.tells_start and out >= self.note_in:
                 # the next slot, or half as long again as so far
                 wait = max(w.residual / w.slots, ho.wait - out, 0.5 * out)
             else:
@@ -577,7 +606,7 @@
     def choose(self, wi: WorkItem) -> Worker | None:
         """The design's random draw, over the workers that promise about as much as the best one."""
         found, best, now, t = [], 0.0, self.now, self.terms
-        for w in self.some(wi.subject):
+        for w in self.bound(wi) or self.some(wi.subject):
             if w.shun_until > now or w.rest_until > now:
                 continue
             held = len(w.flights) + len(w.lingering)
@@ -602,6 +631,14 @@
         ends = list(accumulate(w.slots / w.pace * w.warm for w in calm))
         return calm[min(bisect(ends, self.chance.draw() * ends[-1]), len(calm) - 1)]
 
+    def bound(self, wi: WorkItem) -> list[Worker] | None:
+        """The whole cell that a ticketed item is bound to: a random few would hold little of it."""
+        if wi.hand_offs and wi.category.effect is Effect.TICKETED and wi.category.group is Group.CELL:
+            for ho in wi.hand_offs:
+                if ho.outcome not in NEVER_RAN:
+                    return [w for w in self.workers if w.cell == ho.worker.cell]
+        return None
+
     def some(self, subject: int) -> list[Worker]:
         """The workers that are looked at for one draw."""
         # sixteen: CPU is scarce, and the best of sixteen random ones is about as good as the best of all
@@ -645,7 +682,7 @@
         if self.young(w):
             w.sends.append((self.now, self.push(wi)))
         if not copy:                            # 4: looked at when it should have begun, with some patience
-            check = self.NOTE_IN if self.terms.tells_start else max(0.05, 1.5 * wait + 0.25 * run)
+            check = self.note_in if self.terms.tells_start else max(0.05, 1.5 * wait + 0.25 * run)
             self.at(self.now + check, wi)
         return Send(ho, wi.expiry_at - self.now)
 
--- a/opalwick/interface.py
+++ b/opalwick/interface.py
@@ -24,6 +24,13 @@
     CELL = "cell"
 
 
+class Reports(Enum):
+    """How workers tell their load."""
+    ANSWERS = "answers"        # with the end of a hand-off, and with probes
+    PROBES = "probes"          # with probes alone
+    NONE = "none"
+
+
 class Phase(IntEnum):
     GONE = 0
     READY = 1
@@ -105,6 +112,7 @@
     progress_every: float
     tick: float
     cpu: float                # seconds that a work item may cost a scheduler; 0: no such limit
+    reports: Reports
     report: tuple[str, ...]   # names from Report, in the order of the figures
 
 
--- a/opalwick/protocol/settings.py
+++ b/opalwick/protocol/settings.py
@@ -6,10 +6,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from opalwick.interface import Category, Customer, Effect, Group, Report, Terms
+from opalwick.interface import Category, Customer, Effect, Group, Report, Reports, Terms
 
 _EFFECTS = {"repeatable": Effect.RERUNNABLE, "by_key": Effect.TICKETED, "once": Effect.EXCLUSIVE}
 _REPORT = {"active": Report.HELD, "waiting": Report.WAITING}
+_REPORTS = {"piggyback": Reports.ANSWERS, "pull": Reports.PROBES, "silent": Reports.NONE}
 _MICRO = 1e-6
 
 
@@ -118,7 +119,7 @@
         tells_start=values.choice("family-info.tells-start", {"true": True, "false": False}, "false"),
         progress_every=values.seconds("family-info.progress-us", 0.0),
         tick=values.seconds("tick-us", 0.005), cpu=values.seconds("ceilings.cpu-us-per-request", 0.0),
-        report=report)
+        reports=values.choice("load-report.how", _REPORTS, "piggyback"), report=report)
 
 
 @dataclass(slots=True)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -10,7 +10,7 @@
 
 from opalwick.balance import Balancer
 from opalwick.interface import (Cancel, Category, Customer, Decision, Defer, Effect, Group, ListForm, Outcome,
-                                Phase, Report, Row, Send, Subscribe, Sum, Tell, Terms, Wake, Worker, WorkItem,
+                                Phase, Report, Reports, Row, Send, Subscribe, Sum, Tell, Terms, Wake, Worker, WorkItem,
                                 WriteOff)
 from opalwick.protocol.clients import Call, Conversation
 from opalwick.protocol.settings import flat, read_names, read_terms
@@ -46,7 +46,7 @@
                       excess_credit=0.1, price_cross=0.0, price_tell=0.0, position=0, must_ask=False,
                       ask_every=10.0, fall_multiple=3.0,
                       fall_span=2.0, cold_share=0.25, ramp=10.0, tells_start=True, progress_every=1.0,
-                      tick=0.005, cpu=0.0,
+                      tick=0.005, cpu=0.0, reports=Reports.ANSWERS,
                       report=(Report.FREE_SLOTS,))
         self.terms = replace(terms, **changes)
         self.now, self.lines, self.items = START, [], {}
