--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -194,7 +194,8 @@
         self.full += (late - self.full) * 0.05
         if late and began:
             ahead = took * w.slots / (0.6 * self.mean_run * w.pace)     # as wait_at has it
-            self.queue += (ahead - self.queue) * 0.05
+            # a slow worker's queue is not the others': one past its slots' worth says no more
+            self.queue += (min(ahead, w.slots) - self.queue) * 0.05
             self.seen_others(w, self.room(w) + ahead)   # as many wait behind as waited ahead
         # a Poisson number with this mean fills the slots about so often
         self.others = self.largest * min(1.0, 1.25 * math.sqrt(self.full)) + self.full * self.queue
@@ -518,7 +519,7 @@
                 self.seen_others(ho.worker, max(ho.worker.others, self.room(ho.worker)))
         best = max(self.prospect(wi, ho.worker, ho) for ho in live)
         # a ticketed one, within its group, only when the note is long overdue: its connection fell silent
-        late = self.terms.tells_start and all(self.now - ho.sent_at > max(0.3, 3 * ho.wait) for ho in live)
+        late = self.terms.tells_start
         if wi.category.effect is Effect.RERUNNABLE or late:
             w = self.choose(wi)
             # a move must promise clearly more, as the place is given up; and more yet where no note tells
