--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -232,7 +232,7 @@
             if free >= 0 and self.blind:        # items may take several slots
                 held = max(held, w.slots - free)
             # late, noisy: half; where it was asked for, nearly all, as the one before is long gone
-            self.seen_others(w, w.others + (max(0.0, held - own) - w.others) * (0.8 if self.blind else 0.5))
+            self.seen_others(w, w.others + (max(0.0, held - own) - w.others) * (1.0 if self.blind else 0.5))
             self.others += (w.others - self.others) * 0.05  # over about as many reports as there are workers
 
     def probed(self, w: Worker, figures: Sequence[float]) -> None:
@@ -607,9 +607,10 @@
         return wi.work * w.pace / w.warm
 
     def wait_at(self, wi: WorkItem, w: Worker) -> float:
-        over = (w.busy + wi.slots - w.slots) / 0.5
+        doubt = 0.2 if self.blind and self.now - w.others_at < 1.0 else 0.5
+        over = (w.busy + wi.slots - w.slots) / doubt
         # half a slot of doubt about what others hold: a nearly full worker is worse than an empty one
-        over = 0.5 * (over if over > 20.0 else math.log1p(math.exp(over)))
+        over = doubt * (over if over > 20.0 else math.log1p(math.exp(over)))
         # for one slot, about a share of a residual for each; for several, the last of them to come free
         kept = max(0.0, w.slots - wi.slots)
         ahead = kept + over
