--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -1,18 +1,17 @@
 """All decisions of opalwick. The types of its inputs and decisions are defined in `interface.py`.
 
 How to call it: one Balancer a scheduler. Set the time with clock(), hand in what happened (listed, moved,
-taken, left, ended, began, progressed, reported, told, summed), which only updates what is known, then pull
-decisions() until none is left; each decision counts as carried out once it is pulled.
+taken, left, ended, began, progressed, reported, probed, told, summed), which only updates what is known,
+then pull decisions() until none is left; each decision counts as carried out once it is pulled.
 
 The ordinary path is the design's: a random worker, skips, blocks, cyclic-row copies, cancels at the first
-finish. Beside the design stand six mechanisms, each marked by its number where it is decided:
-  1 sight      when a work item would end at a worker, from own hand-offs, notes, elapsed times, reports
-               and what the other schedulers say they have in flight
+finish. Beside the design stand five mechanisms, each marked by its number where it is decided:
+  1 sight      when a work item would end at a worker, from own hand-offs, notes, elapsed times,
+               reports, probes where those alone bring them, and what others say they have in flight
   2 limit      own work in flight at a worker, grown by one and cut by a share; silence cuts it to a trial
   3 cold       a fresh worker counts for less by its age, and chance lets in what all together may send
   4 move       a further hand-off after one that ended without an answer or has not begun when it should have
   5 deferral   a work item that cannot meet its due time any more is answered at once
-  6 subject    the draw is made from the work item's subject, so that equal subjects meet at one worker
 """
 from __future__ import annotations
 
@@ -59,6 +58,7 @@
         self.tells = terms.may_tell and terms.schedulers > 1
         self.blind = terms.reports is not Reports.ANSWERS and terms.tells_start
         self.probing = terms.reports is Reports.PROBES and terms.may_probe
+        self.failing = 0.0                      # share of runs that fail, anywhere
         self.full = self.queue = 0.0            # share of sends with no slot free; work items ahead then
         self.others = 0.0                       # mean of others' work items over the workers
         # where a work item's CPU is limited a draw looks at fewer: each worker costs about 1.2 us of it
@@ -100,7 +100,6 @@
                 self.zones[zone] = Zone(zone, self.now + self.TELL * late)
         self.workers = [w for w in self.listed_all if w.phase is Phase.READY]
         self.resize()
-        self.ring = sorted(self.workers, key=lambda w: Chance(w.id * self.MIX).mixed())
 
     def moved(self) -> None:
         """The list is to be had elsewhere: what failed so far says nothing of it."""
@@ -145,6 +144,8 @@
         wi.answered = wi.answered or answered
         if outcome in (Outcome.FINISHED, Outcome.ERROR, Outcome.FULL):
             self.sign(w)
+        if outcome in (Outcome.FINISHED, Outcome.ERROR):
+            self.failed(ho, outcome is Outcome.ERROR)
         if outcome is Outcome.FINISHED:
             began = ho.began_at or (ho.sent_at if ho.wait < 0.01 else 0.0)
             if began and not self.young(w):
@@ -174,6 +175,20 @@
         if not wi.answered and all(other.ended for other in wi.hand_offs):
             self.todo.append(wi)
 
+    def failed(self, ho: HandOff, bad: bool) -> None:
+        """1: how often work fails at a worker: what fails fast leaves it empty, and so best."""
+        if any(other is not ho and other.outcome is Outcome.ERROR for other in ho.wi.hand_offs):
+            return                              # it may be the item: it speaks against one worker at most
+        w, fade = ho.worker, math.exp((ho.worker.failed_at - self.now) / 10.0)
+        w.failed, w.tried, w.failed_at = w.failed * fade + bad, w.tried * fade + 1.0, self.now
+        self.failing += (bad - self.failing) * 0.02
+
+    def fails(self, w: Worker) -> float:
+        """1: the chance that work fails there beyond what it does everywhere, so a bad hour shuns nobody."""
+        fade = math.exp((w.failed_at - self.now) / 10.0)
+        # two sound runs are taken for granted: one error leaves two chances in three
+        return max(0.0, (w.failed * fade + 2.0 * self.failing) / (w.tried * fade + 2.0) - self.failing)
+
     def began(self, ho: HandOff) -> None:
         if ho.began_at:
             return
@@ -267,7 +282,6 @@
     NOTE_IN = 0.1
 
     TELL = 0.1  # seconds between words at the least: shorter than most work items run
-    MIX = 0x9E3779B97F4A7C15  # an odd constant, to mix; as the one in rank
 
     @staticmethod
     def doubled(times: int) -> float:
@@ -591,7 +605,7 @@
         The best of n is better than that of one less by about 1 / n n; the chance that it turns on this, a
         twentieth, grows with the slots that must be free at once.
         """
-        wi.looked = self.some(wi.subject)
+        wi.looked = self.some()
         count = math.sqrt(0.05 * wi.slots * wi.worth / self.value / max(self.terms.price_probe, 1e-4))
         for w in wi.looked[:int(count)]:
             if self.now - w.others_at > 0.3:    # else it is known well enough
@@ -639,6 +653,8 @@
         # spread of the guess: a third of what is guessed, and a trip
         z = (wi.due_at - self.now - wait - run) / (0.35 * (wait + run) + 0.02)
         chance = 1.0 / (1.0 + math.exp(-max(-30.0, min(30.0, z))))
+        if w.failed > 0.0 and ho is None:
+            chance *= 1.0 - self.fails(w)
         return chance + wi.category.tardy_credit * (1.0 - chance)
 
     def gain(self, wi: WorkItem, w: Worker, prospect: float, more: float) -> float:
@@ -656,7 +672,7 @@
     def choose(self, wi: WorkItem) -> Worker | None:
         """The design's random draw, over the workers that promise about as much as the best one."""
         found, best, now, t = [], 0.0, self.now, self.terms
-        for w in self.bound(wi) or wi.looked or self.some(wi.subject):
+        for w in self.bound(wi) or wi.looked or self.some():
             if w.shun_until > now or w.rest_until > now:
                 continue
             held = len(w.flights) + len(w.lingering)
@@ -672,13 +688,10 @@
                 best = max(best, gain)
         if not found:
             return None
-        # about equal: a twentieth; with a subject thrice that, as the time to fetch it is not in the guess
-        least = best - (0.15 if wi.subject else 0.05) * wi.worth / self.value
-        near = [w for gain, w in found if gain >= least]
+        # about equal: a twentieth
+        near = [w for gain, w in found if gain >= best - 0.05 * wi.worth / self.value]
         # the skip margin: one item over one and a half times the recent mean, so that small means still skip
         calm = [w for w in near if len(w.flights) + len(w.lingering) <= 1.5 * w.mean + 1.0] or near
-        if wi.subject:                          # 6
-            return max(calm, key=lambda w: self.rank(wi.subject, w))
         ends = list(accumulate(w.slots / w.pace * w.warm for w in calm))
         return calm[min(bisect(ends, self.chance.draw() * ends[-1]), len(calm) - 1)]
 
@@ -690,16 +703,12 @@
                     return [w for w in self.workers if w.cell == ho.worker.cell]
         return None
 
-    def some(self, subject: int) -> list[Worker]:
+    def some(self) -> list[Worker]:
         """The workers that are looked at for one draw."""
         # sixteen: CPU is scarce, and the best of sixteen random ones is about as good as the best of all
         count = len(self.workers)
         if count <= self.most:
             return self.workers
-        if subject:
-            # 6: by order from its place on a ring, as at every scheduler; ranking all cost too much at size
-            at = int(Chance(subject * self.MIX).mixed() * count)
-            return (self.ring[at:] + self.ring[:at])[:self.most]
         # from a random place by random steps that meet all: two draws, as each costs as much as a look
         drawn: dict[Worker, None]
         at, step, drawn = int(self.chance.draw() * count), 1 + int(self.chance.draw() * (count - 1)), {}
@@ -713,10 +722,6 @@
                     break
         return list(drawn)
 
-    def rank(self, subject: int, w: Worker) -> float:
-        """6: the same figure at every scheduler; a fresh worker gets its part by age."""
-        return Chance(subject * self.MIX ^ w.id * 0xC2B2AE3D27D4EB4F).mixed() * self.warmth(w)
-
     def hand(self, wi: WorkItem, w: Worker, copy: bool) -> Send:
         self.look(w)
         wait, run = self.wait_at(wi, w), self.run_at(wi, w)
--- a/opalwick/chance.py
+++ b/opalwick/chance.py
@@ -9,8 +9,3 @@
     def draw(self) -> float:
         self.state = (self.state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
         return (self.state >> 33) / 2147483648.0
-
-    def mixed(self) -> float:
-        """The second draw: the first still shows the start."""
-        self.draw()
-        return self.draw()
--- a/opalwick/interface.py
+++ b/opalwick/interface.py
@@ -145,6 +145,9 @@
     ran: float = 0.0           # seconds run, faded, against `asked`
     ran_at: float = 0.0
     asked: float = 0.0         # seconds of work asked for, faded
+    failed: float = 0.0        # runs that failed, of those tried, faded
+    tried: float = 0.0
+    failed_at: float = -1e9
     limit: float = 0.0         # own work items in flight, at most
     sign_at: float = -1e9      # last sign that it works
     doubt: int = 0             # times in a row that it was found silent
@@ -185,7 +188,6 @@
     id: Hashable               # the door's
     category: Category
     customer: Customer | None
-    subject: int               # 0: none
     taken_at: float
     expiry_at: float
     hint: float                # seconds of work; 0: none
--- a/opalwick/processor/configuration.py
+++ b/opalwick/processor/configuration.py
@@ -32,7 +32,6 @@
     category: str = "x-service-class"  # else the path's first part
     expiry: str = "x-time-left-ms"  # milliseconds; else the category's
     key: str = "idempotency-key"
-    subject: str = ""  # else the path's last part, where it has several
     hint: str = "x-weight-hint"  # microseconds of work
     customer: str = "x-account"
     facts: str = "x-facts"
--- a/opalwick/processor/exchange.py
+++ b/opalwick/processor/exchange.py
@@ -26,7 +26,6 @@
     id: str
     category: Category
     customer: Customer | None
-    subject: int
     expiry_at: float
     hint: float
     slots: float
@@ -158,7 +157,6 @@
                 item.id,
                 asked.category,
                 asked.customer,
-                asked.subject,
                 now,
                 asked.expiry_at,
                 asked.hint,
--- a/opalwick/processor/messages.py
+++ b/opalwick/processor/messages.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import zlib
 from collections import deque
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -74,13 +73,11 @@
     if category.effect.value == "ticketed" and not key:
         raise Refused(400, f"{f.key} is missing")
     left = _number(given, f.expiry, category.expiry * 1e3) / 1e3
-    about = given.get(f.subject, "") if f.subject else (parts[-1] if len(parts) > 2 else "")
     slots = facts(given.get(f.facts, "").encode("latin-1", "replace")).get(b"slots", 1.0)
     return Asked(
         id,
         category,
         names.customers.get(given.get(f.customer, "")),
-        zlib.crc32(about.encode()) + 1 if about else 0,
         now + min(left, 3600.0),
         _number(given, f.hint, 0.0) * 1e-6,
         slots if 0 < slots < 1e4 else 1.0,
--- a/opalwick/program/configuration.py
+++ b/opalwick/program/configuration.py
@@ -9,7 +9,7 @@
 
 from opalwick.interface import Terms
 from opalwick.protocol.discovery import address
-from opalwick.protocol.settings import BadStart, Names, Values, flat, read_names, read_terms
+from opalwick.protocol.settings import BadStart, Names, Values, flat, read_names, read_terms, refuse_mixed
 from opalwick.transport.connection import Address
 from opalwick.transport.limits import Limits, within
 
@@ -88,6 +88,7 @@
     settings = flat(_take(given, "settings", dict))
     try:
         terms = read_terms(settings)
+        refuse_mixed(settings)
         names = read_names(settings, terms)
         values = Values(settings)
         budgets = within(
--- a/opalwick/program/core.py
+++ b/opalwick/program/core.py
@@ -13,9 +13,11 @@
 from opalwick.interface import ListForm
 from opalwick.program.configuration import BadConfiguration, Configuration
 from opalwick.protocol.discovery import Discovery, rows
-from opalwick.routing.reducer import Datagram, Reducer, Timer, Watch
+from opalwick.protocol.probes import probe
+from opalwick.routing.reducer import Datagram, Probe, Reducer, Timer, Watch
 from opalwick.transport.connection import Address, bind
 from opalwick.transport.datagrams import Datagrams
+from opalwick.transport.pool import Pool
 
 
 class Core:
@@ -32,6 +34,7 @@
         now = time.monotonic()
         unix = time.time() - now
         self.reducer = Reducer(c.terms, c.seed, now)
+        self.pool = Pool(c.limits.workers, c.limits.idle_worker, c.limits.ring)     # to workers
         self.leaving = False                    # told to end
         self.wake_at, self.rearmed = now, Event()
         self.peers = {place: i for i, place in enumerate(c.peers)}
@@ -64,12 +67,22 @@
                 if at < self.wake_at or self.wake_at <= time.monotonic():
                     self.wake_at = at
                     self.rearmed.set()
+            case Probe(worker, place):
+                gevent.spawn(self.probe, worker, place)
             case Watch():
                 gevent.spawn(self.discovery.watch)
             case Datagram(to, octets):
                 if self.datagrams is not None and to < len(self.configuration.peers):
                     self.datagrams.send(self.configuration.peers[to], octets)
 
+    def probe(self, worker: Any, place: Address) -> None:
+        self.put("probed", worker, probe(place, self.pool, self.limits, self.names.figures))
+
+    def sweep(self) -> None:
+        while True:
+            gevent.sleep(0.25 * self.limits.idle_worker)
+            self.pool.sweep()
+
     def keep_time(self) -> None:
         """The one timer."""
         while True:
@@ -148,7 +161,7 @@
         """Until it was told to close and all is answered."""
         self.open()
         self.put("listed", ListForm.CACHED, self.known)
-        for work in (self.keep_time, self.reread):
+        for work in (self.keep_time, self.reread, self.sweep):
             gevent.spawn(self.forever, work)
         if self.datagrams is not None:
             gevent.spawn(self.forever, self.datagrams.receive, self.heard)
--- a/opalwick/program/scheduler.py
+++ b/opalwick/program/scheduler.py
@@ -15,7 +15,6 @@
 from opalwick.protocol.workers import HandingOff
 from opalwick.routing.reducer import Answer, Close, Final, Send
 from opalwick.transport.connection import Connection
-from opalwick.transport.pool import Pool
 
 
 class Scheduler(Core):
@@ -23,7 +22,6 @@
                  read: Callable[[], Configuration]) -> None:
         super().__init__(configuration, stop, again, read)
         c = configuration
-        self.pool = Pool(c.limits.workers, c.limits.idle_worker, c.limits.ring)
         self.conversations: dict[Conversation, None] = {}
         self.calls: dict[bytes, Call] = {}      # taken and not yet answered, by the client's id
         self.out: dict[tuple[bytes, int], HandingOff] = {}
@@ -148,13 +146,7 @@
         finally:
             self.conversations.pop(conversation, None)
 
-    def sweep(self) -> None:
-        while True:
-            gevent.sleep(0.25 * self.limits.idle_worker)
-            self.pool.sweep()
-
     def start(self) -> None:
-        gevent.spawn(self.forever, self.sweep)
         self.accepting = gevent.spawn(self.forever, self.accept, self.listener)
 
     def open_items(self) -> int:
--- a/opalwick/protocol/clients.py
+++ b/opalwick/protocol/clients.py
@@ -3,7 +3,6 @@
 
 import re
 import time
-import zlib
 from collections import deque
 from typing import Any, Protocol
 
@@ -95,7 +94,7 @@
 
 
 def decode(message: Message, names: Names, now: float) -> tuple:
-    """The fields of a work item: category, customer, subject, taken at, expiry at, hint, slots."""
+    """The fields of a work item: category, customer, taken at, expiry at, hint, slots."""
     parts = message.target.split(b"?", 1)[0].split(b"/")
     first = parts[1] if len(parts) > 1 else b""
     name = message.headers.get(b"x-service-class") or first
@@ -110,11 +109,9 @@
     # counted from the sending: its first byte
     expiry_at = message.first_at + (category.expiry if left is None else left / 1000.0)
     customer: Customer | None = names.customers.get(message.headers.get(b"x-account", b"").decode("latin-1"))
-    # the same number at every scheduler
-    subject = zlib.crc32(parts[-1]) + 1 if len(parts) > 2 and parts[-1] else 0
     hint = (_number(message, "X-Weight-Hint") or 0.0) * 1e-6
     slots = facts(message.headers.get(b"x-facts")).get(b"slots", 1.0)
-    return category, customer, subject, now, expiry_at, hint, slots if 0 < slots < 1e4 else 1.0
+    return category, customer, now, expiry_at, hint, slots if 0 < slots < 1e4 else 1.0
 
 
 class Conversation:
--- /dev/null
+++ b/opalwick/protocol/probes.py
@@ -0,0 +1,52 @@
+"""One probe of a worker's load, from its connection to its answer."""
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Sequence
+
+import httptools
+
+from opalwick.protocol.http import Malformed, Message, Parser
+from opalwick.protocol.workers import figures
+from opalwick.transport.connection import Address
+from opalwick.transport.limits import Limits
+from opalwick.transport.pool import NoRoom, Pool
+
+
+def probe(address: Address, pool: Pool, limits: Limits, names: Sequence[str]) -> tuple[float, ...]:
+    """The figures that the worker told, in the order of the names; none where it told none, or nothing came.
+
+    It waits. What fails here proves nothing of work: nothing of it is told but that there are no figures.
+    """
+    try:
+        connection = pool.take(address)
+    except NoRoom:
+        return ()
+    until, done = time.monotonic() + limits.probe, list[Message]()
+    try:
+        if not connection.used:
+            connection.used = 1
+            connection.connect(address, min(limits.connect, limits.probe))
+        connection.write(b"GET /-/load HTTP/1.1\r\nHost: %b\r\n\r\n" % ("%s:%d" % address).encode(),
+                         until - time.monotonic())
+        parser = Parser(httptools.HttpResponseParser, limits, done.append)
+        while not done:
+            if not (came := connection.read(until - time.monotonic())):
+                break
+            parser.feed(came)
+    except (OSError, Malformed):
+        pass
+    if not done or not done[0].keep_alive:
+        connection.close()                      # what comes late must not be taken for another answer
+    pool.give(address, connection)
+    # 503 tells that it wants nothing new; its load is its load
+    return report(done[0].body, names) if done and done[0].status in (200, 503) else ()
+
+
+def report(body: bytes, names: Sequence[str]) -> tuple[float, ...]:
+    """An object, or `name=figure,...` as in a worker's header."""
+    try:
+        return figures(json.loads(body), names)
+    except (ValueError, RecursionError):
+        return figures(body, names)
--- a/opalwick/protocol/settings.py
+++ b/opalwick/protocol/settings.py
@@ -11,6 +11,8 @@
 _EFFECTS = {"repeatable": Effect.RERUNNABLE, "by_key": Effect.TICKETED, "once": Effect.EXCLUSIVE}
 _REPORT = {"active": Report.HELD, "waiting": Report.WAITING}
 _REPORTS = {"piggyback": Reports.ANSWERS, "pull": Reports.PROBES, "silent": Reports.NONE}
+# what the list tells of sizes: under load `live` is no size
+_SIZED = {"silent": False, "live": False, "nominal": True, "rough": True}
 _MICRO = 1e-6
 
 
@@ -119,12 +121,27 @@
         tells_start=values.choice("family-info.tells-start", {"true": True, "false": False}, "false"),
         progress_every=values.seconds("family-info.progress-us", 0.0),
         tick=values.seconds("tick-us", 0.005), cpu=values.seconds("ceilings.cpu-us-per-request", 0.0),
-        sized=values.text("weights", "silent") in ("nominal", "rough"),
+        sized=values.choice("weights", _SIZED, "silent"),
         may_probe=values.choice("ceilings.may-probe", {"true": True, "false": False}, "false"),
         price_probe=values.number("prices.probe", 0.0),
         reports=values.choice("load-report.how", _REPORTS, "piggyback"), report=report)
 
 
+def refuse_mixed(given: Mapping[str, str]) -> None:
+    """A scheduler's own check of its start: settings of one shape beside those of another."""
+    values = Values(given)
+    names, how = values.row("load-report.names"), values.text("load-report.how", "piggyback")
+    for name in names:
+        if names.count(name) > 1:
+            raise BadStart(f"load-report.names holds {name!r} twice")
+    if how == "silent" and names:
+        raise BadStart(f"load-report.names holds {names[0]!r}, but load-report.how is 'silent'")
+    if how == "pull" and not names:
+        raise BadStart("load-report.names is empty, but load-report.how is 'pull': probes would tell nothing")
+    if how == "pull" and values.text("ceilings.may-probe", "false") != "true":
+        raise BadStart("ceilings.may-probe is not true, but load-report.how is 'pull': nothing would be told")
+
+
 @dataclass(slots=True)
 class Names:
     """What the names on the sockets stand for."""
--- a/opalwick/routing/reducer.py
+++ b/opalwick/routing/reducer.py
@@ -104,10 +104,10 @@
         """The list is to be had at another place."""
         self.balancer.moved()
 
-    def taken(self, key: Hashable, category: Category, customer: Customer | None, subject: int,
+    def taken(self, key: Hashable, category: Category, customer: Customer | None,
               taken_at: float, expiry_at: float, hint: float, slots: float, calls: float = math.inf) -> None:
         """`calls`: hand-offs that the front can carry at once; more come with `asked`."""
-        wi = self.items[key] = WorkItem(key, category, customer, subject, taken_at, expiry_at, hint, slots,
+        wi = self.items[key] = WorkItem(key, category, customer, taken_at, expiry_at, hint, slots,
                                         calls=calls)
         self.balancer.taken(wi)
         self._leave(wi)
--- a/opalwick/transport/limits.py
+++ b/opalwick/transport/limits.py
@@ -35,6 +35,7 @@
     idle_worker: float      # a worker's connection between requests
     rest: float             # the end of an answer whose last line has come
     connect: float
+    probe: float            # a worker's answer to a probe
     watch: float            # one watch call waits so long at discovery
     silent: float           # and is given up so long after that
     queued: float           # a call that does not wait may stand in discovery's queue so long
@@ -78,6 +79,8 @@
         dropped=80 << 20, leaving=4.0,
         # clearly before the worker closes it: a request that crosses the close may have run
         idle_worker=max(0.5 * conn_idle, conn_idle - 3.0), connect=connect,
+        # a draw waits a tenth of a second for it; what comes later still tells something
+        probe=0.5,
         # the last chunk comes with the last line or right after
         rest=0.25,
         # discovery serves calls in turn, so few long ones: as seldom as a scheduler that does not watch must
--- /dev/null
+++ b/tests/test_probes.py
@@ -0,0 +1,137 @@
+"""Probes: what a worker's answer comes to, and that no odd one harms anything."""
+from __future__ import annotations
+
+import gevent
+import pytest
+from helper import SETTINGS, START, Bench, Desk, Stand, limits, post, settings
+from test_scheduler import DONE, Served, first
+
+from opalwick.interface import ListForm, Phase, Report, Reports
+from opalwick.protocol.probes import probe, report
+from opalwick.protocol.settings import BadStart, refuse_mixed
+from opalwick.transport.pool import Pool
+
+ASKED = {"reports": Reports.PROBES, "may_probe": True, "price_probe": 0.006}
+PULL = {"load-report": {"how": "pull", "names": ["x0", "active"]},
+        "ceilings": SETTINGS["ceilings"] | {"may-probe": True}, "prices": {"probe": 0.006}}
+
+
+def answer(body: bytes, status: str = "200 OK", fields: str = "") -> bytes:
+    return f"HTTP/1.1 {status}\r\n{fields}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+@pytest.mark.parametrize("piece, found, kept", [
+    (answer(b"x0=3,active=1.5"), (3.0, 1.5), 1),
+    (answer(b'{"x0":3,"active":1.5}'), (3.0, 1.5), 1),
+    (answer(b"x0=0,active=9", "503 Service Unavailable"), (0.0, 9.0), 1),
+    (answer(b"x0=3,active=1.5", fields="Connection: close\r\n"), (3.0, 1.5), 0),
+    (answer(b"active=much"), (-1.0, -1.0), 1),
+    (answer(b""), (), 1),
+    (answer(b"nothing here", "404 Not Found"), (), 1),
+    (b"HTTP/1.1 what", (), 0),
+    (b"", (), 0),                               # it closes
+    (None, (), 0),                              # it stays silent
+])
+def test_what_a_worker_answers(piece: bytes | None, found: tuple, kept: int) -> None:
+    stand, least = Stand(piece), limits(probe=0.1)
+    pool = Pool(least.workers, least.idle_worker, least.ring)
+    assert probe(stand.place, pool, least, ["x0", "active"]) == found
+    assert stand.heard[0].startswith("GET /-/load HTTP/1.1\r\n")
+    assert (pool.open, sum(map(len, pool.kept.values()))) == (kept, kept) or pool.open == 0 == kept
+
+
+def test_a_worker_that_is_not_there_tells_nothing() -> None:
+    stand = Stand()
+    stand.running.kill()
+    stand.listener.close()
+    least = limits()
+    pool = Pool(least.workers, least.idle_worker, least.ring)
+    assert probe(stand.place, pool, least, ["x0"]) == () and pool.open == 0
+
+
+def test_a_report_of_any_form_is_figures_or_nothing() -> None:
+    odd = [b"[]", b"7", b"null", b'"x0=1"', b"\xff=\xfe", b"{", b"x0", b"[" * 5000]
+    assert [report(body, ["x0"]) for body in odd] == [()] * 4 + [(-1.0,), (), (), ()]
+
+
+def test_a_draw_waits_for_answers_and_goes_where_there_is_room() -> None:
+    """etkezde-bp: nothing told of the others' load, a first send in three found every slot taken."""
+    bench = Bench("ABC", **ASKED)
+    for w in bench.workers.values():
+        w.others_at = -1e9
+    bench.balancer.clock(START)
+    bench.take("x")
+    bench.pull("taken")
+    bench.balancer.probed(bench.workers["A"], (0.0,))
+    bench.pull("A is full")
+    bench.balancer.probed(bench.workers["B"], (0.0,))
+    bench.balancer.probed(bench.workers["C"], (4.0,))
+    bench.pull("so is B, C is empty")
+    bench.take("y")
+    bench.pull("y, while all is fresh")
+    bench.matches("probes")
+
+
+def test_a_draw_goes_on_without_an_answer_and_a_late_one_changes_no_work_item() -> None:
+    bench = Bench("AB", **ASKED)
+    for w in bench.workers.values():
+        w.others_at = -1e9
+    bench.take("x")
+    bench.pull("taken")
+    bench.wait(0.2, "no answer came")
+    sent = len(bench.items["x"].hand_offs)
+    for w in bench.workers.values():
+        bench.balancer.probed(w, ())            # failed, and that is all
+    bench.pull("both failed")
+    bench.end("x", sent - 1)
+    bench.list(ListForm.CHANGES, A=Phase.GONE)
+    for figures in ((float("nan"),), (-3.0,), (float("inf"),), (1.0, 2.0, 3.0), ()):
+        bench.balancer.probed(bench.workers["A"], figures)
+    bench.pull("odd answers, of one that is gone, nobody asked")
+    bench.lines.append(f"others at A {bench.workers['A'].others:.1f}, doubt {bench.workers['A'].doubt}")
+    bench.matches("probes_none")
+
+
+def test_nothing_is_probed_where_answers_bring_reports_or_probes_none() -> None:
+    for changes in ({}, {"may_probe": True}, {"reports": Reports.NONE, "may_probe": True, "report": ()},
+                    {"reports": Reports.PROBES, "report": (Report.FREE_SLOTS,)}):
+        bench = Bench("AB", **changes)
+        for w in bench.workers.values():
+            w.others_at = -1e9
+        bench.take("x")
+        assert "probe" not in bench.word(bench.pull()[0])
+
+
+def test_the_reducer_asks_by_name_and_passes_over_what_it_does_not_know() -> None:
+    desk = Desk("A", **PULL)
+    desk.take("a")
+    desk.put("probed", "Z", (1.0, 1.0))
+    desk.put("probed", "A", (3.0, 0.0, 7.0))
+    desk.matches("reducer_probes")
+
+
+def test_a_scheduler_probes_over_sockets(tmp_path) -> None:
+    served = Served(tmp_path, answer(b"x0=4,active=0"), DONE, settings=SETTINGS | PULL)
+    sock = served.ask(post())
+    gevent.sleep(0.1)
+    assert first(sock) == "HTTP/1.1 200 OK | 7"
+    assert [text.split(" ")[1] for text in served.worker.heard] == ["/-/load", "/look/7"]
+    assert served.worker.connections == 1       # kept from the probe for the hand-off
+    served.stop()
+
+
+@pytest.mark.parametrize("changes, said", [
+    ({"load-report": {"how": "silent", "names": ["x0"]}},
+     "load-report.names holds 'x0', but load-report.how is 'silent'"),
+    ({"load-report": {"how": "pull", "names": ["x0"]}},
+     "ceilings.may-probe is not true, but load-report.how is 'pull': nothing would be told"),
+    (PULL | {"load-report": {"how": "pull", "names": []}},
+     "load-report.names is empty, but load-report.how is 'pull': probes would tell nothing"),
+    ({"load-report": {"names": ["x0", "active", "x0"]}}, "load-report.names holds 'x0' twice"),
+])
+def test_a_configuration_that_mixes_shapes_is_refused(changes: dict, said: str) -> None:
+    with pytest.raises(BadStart) as found:
+        refuse_mixed(settings(**changes))
+    assert str(found.value) == said
+    refuse_mixed(settings(**PULL))
+    refuse_mixed(settings(**{"load-report": {"how": "silent"}}))
