--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -1,12 +1,17 @@
 """Probes: what a worker's answer comes to, and that no odd one harms anything."""
 from __future__ import annotations
 
+import subprocess
+import sys
+
 import gevent
 import pytest
 from helper import SETTINGS, START, Bench, Desk, Stand, limits, post, settings
-from test_scheduler import DONE, Served, first
+from loguru import logger
+from test_scheduler import DONE, Served, configuration, first
 
 from opalwick.interface import ListForm, Phase, Report, Reports
+from opalwick.program.configuration import BadConfiguration
 from opalwick.protocol.probes import probe, report
 from opalwick.protocol.settings import BadStart, refuse_mixed
 from opalwick.transport.pool import Pool
@@ -135,3 +140,34 @@
     assert str(found.value) == said
     refuse_mixed(settings(**PULL))
     refuse_mixed(settings(**{"load-report": {"how": "silent"}}))
+
+
+MIXED = SETTINGS | {"load-report": {"how": "pull", "names": ["x0"]}}
+SAID = "settings: ceilings.may-probe is not true, but load-report.how is 'pull': nothing would be told"
+
+
+def test_every_command_refuses_mixed_settings_in_one_plain_line(tmp_path) -> None:
+    with pytest.raises(BadConfiguration) as found:
+        configuration(tmp_path, settings=MIXED)
+    assert str(found.value) == SAID
+    (tmp_path / "processor.toml").write_text('scheduler = "configuration.json"\nlisten = "127.0.0.1:9201"\n')
+    for command, named in (("check", "configuration.json"), ("serve", "configuration.json"),
+                           ("check", "processor.toml"), ("processor", "processor.toml")):
+        done = subprocess.run([sys.executable, "-m", "opalwick", command, str(tmp_path / named)],
+                              capture_output=True, text=True, timeout=20)
+        assert done.returncode == 2, (command, named)
+        assert SAID in done.stderr and done.stderr.count("\n") == 1, done.stderr
+        assert done.stdout == ""
+
+
+def test_a_mixed_configuration_on_sighup_changes_nothing(tmp_path) -> None:
+    served, said = Served(tmp_path, DONE), []
+    number = logger.add(lambda line: said.append(line.record["message"]),
+                        filter=lambda record: record["function"] == "reread")
+    served.found = lambda: configuration(tmp_path, settings=MIXED, discovery="127.0.0.1:9")
+    served.again.set()
+    gevent.sleep(0.05)
+    logger.remove(number)
+    assert said == [f"the configuration was read again and is not used: {SAID}"]
+    assert first(served.ask(post())) == "HTTP/1.1 200 OK | 7"
+    served.stop()
