--- a/tests/test_probes.py
+++ b/tests/test_probes.py
@@ -6,14 +6,18 @@
 
 import gevent
 import pytest
+from gevent.event import Event
 from helper import SETTINGS, START, Bench, Desk, Stand, limits, post, settings
 from loguru import logger
 from test_scheduler import DONE, Served, configuration, first
 
 from opalwick.interface import ListForm, Outcome, Phase, Report, Reports
+from opalwick.processor.exchange import Exchange
 from opalwick.program.configuration import BadConfiguration
+from opalwick.program.core import Core
 from opalwick.protocol.probes import probe, report
 from opalwick.protocol.settings import BadStart, refuse_mixed
+from opalwick.routing.reducer import Probe
 from opalwick.transport.pool import Pool
 
 ASKED = {"reports": Reports.PROBES, "may_probe": True, "price_probe": 0.006}
@@ -195,3 +199,14 @@
         bench.lines.append(f"probing {bench.balancer.probing}: "
                            f"{sent['A']} to the fast one, {sent['B']} to the slow")
         bench.matches(f"fast_{bench.balancer.probing}")
+
+
+def test_the_core_under_every_front_probes_and_the_processor_leaves_it_to_it(tmp_path) -> None:
+    stand = Stand(answer(b"x0=1,active=3"))
+    found = configuration(tmp_path, stand, settings=SETTINGS | PULL)
+    core = Core(found, Event(), Event(), lambda: found)
+    core.put("listed", ListForm.CACHED, core.known)
+    assert Exchange.perform(object.__new__(Exchange), Probe("a", stand.place)) is False
+    core.perform(Probe("a", stand.place))
+    gevent.sleep(0.1)
+    assert core.reducer.workers["a"].others == 3.0
