An odd size in the list counts as untold

Found by reading: an infinite share set the first pace of all others, one that is no number cost its worker. Guarded at the door and in the module, with a test of both kinds; nothing else changes.

--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -83,7 +83,7 @@
             if ready_at > w.ready_at and w.sign_at > 0:
                 w.doubt, w.shun_until, w.others = 0, 0.0, 0.0   # a new process under the same id
             w.zone, w.kind, w.cell, w.phase, w.ready_at, w.seen_at = zone, kind, cell, phase, ready_at, -1.0
-            w.share = share if self.terms.sized and share > 0 else 1.0
+            w.share = share if self.terms.sized and 0 < share < 1e6 else 1.0
             self.listed_all[w] = None
             self.kinds.setdefault(kind, Kind())
             if zone not in self.zones:
--- a/opalwick/protocol/discovery.py
+++ b/opalwick/protocol/discovery.py
@@ -26,6 +26,11 @@
     return host, int(port)
 
 
+def _share(given: Any) -> float:
+    """A worker's size; an odd one counts as untold, which costs nobody the worker."""
+    return float(given) if isinstance(given, (int, float)) and 0 < given < 1e6 else 0.0
+
+
 def rows(told: Any, names: Names, unix: float) -> tuple[int, bool, list[tuple]]:
     """The version, whether the list is whole, and its entries as the reducer takes them.
 
@@ -47,7 +52,7 @@
             found.append((name, number, zone, names.kind(entry["class"]),
                           int(entry.get("block", 0)), _PHASES[entry["health"]],
                           born / 1000.0 - unix if born > 0 else LONG_AGO, address(entry["dial"]),
-                          float(entry.get("share", 1.0))))
+                          _share(entry.get("share"))))
         except (TypeError, KeyError, ValueError, AttributeError, OverflowError):
             continue
     return version, whole, found
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -6,7 +6,7 @@
 import gevent
 from helper import Stand, limits, settings
 
-from opalwick.protocol.discovery import Discovery
+from opalwick.protocol.discovery import Discovery, rows
 from opalwick.protocol.settings import read_names, read_terms
 
 
@@ -36,6 +36,14 @@
     return [*lines, *(text.split(" HTTP")[0] for text in stand.heard), f"{stand.connections} connections"]
 
 
+def test_an_odd_size_costs_nobody_the_worker() -> None:
+    odd = ["much", None, float("nan"), float("inf"), -1, 0, 10 ** 400, True, 4.5]
+    hosts = [entry(f"w{i}", share=share) for i, share in enumerate(odd)]
+    terms = read_terms(settings())
+    _, _, found = rows({"seq": 1, "whole": True, "hosts": hosts}, read_names(settings(), terms), 0.0)
+    assert [row[-1] for row in found] == [0.0] * 7 + [1.0, 4.5]
+
+
 def test_a_watch_goes_on_until_a_call_fails() -> None:
     assert watched(told(41), told(42, entry("a", born_ms=1000005000), whole=True), told(42),
                    told(43, entry("a", health="gone"), entry("b", health="draining", dial="127.0.0.3:5001")),
