Reread: one reader of a whole response, one cut of links, held at the worker, flags with a default

A probe and a call to discovery read a response by the same loop; now http.received serves both. Two faults of the lab cut links alike: _cut. The count of what is held at a worker stood four times in the module, now Worker.held. true/false settings with a default were spelt as choices three times: Values.flag takes one.

--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -289,7 +289,7 @@
 
     def note_mean(self, w: Worker) -> None:
         # over five seconds: longer than most work items run, shorter than most troubles last
-        w.mean += (len(w.flights) + len(w.lingering) - w.mean) * -math.expm1((w.mean_at - self.now) / 5.0)
+        w.mean += (w.held - w.mean) * -math.expm1((w.mean_at - self.now) / 5.0)
         w.mean_at = self.now
 
     def sign(self, w: Worker) -> None:
@@ -633,7 +633,7 @@
         for w in self.bound(wi) or not wi.hand_offs and wi.looked or self.some():
             if w.shun_until > now or w.rest_until > now:
                 continue
-            held = len(w.flights) + len(w.lingering)
+            held = w.held
             if not w.limit:
                 w.limit = 4.0 * w.slots         # a queue of a few times the slots; full answers cut it
             if held >= w.limit or w.doubt and held or not self.may(wi, w):
@@ -647,7 +647,7 @@
             return None
         near = [w for gain, w in found if gain >= best - 0.05 * wi.worth / self.value]  # about equal
         # the skip margin: one item over one and a half times the recent mean, so that small means still skip
-        calm = [w for w in near if len(w.flights) + len(w.lingering) <= 1.5 * w.mean + 1.0] or near
+        calm = [w for w in near if w.held <= 1.5 * w.mean + 1.0] or near
         # by capacity; where probes tell when a fast worker fills, it is drawn more, as hints are rough
         ends = list(accumulate(w.slots / w.pace ** (3 if self.probing else 1) * w.warm for w in calm))
         return calm[min(bisect(ends, self.chance.draw() * ends[-1]), len(calm) - 1)]
@@ -715,7 +715,7 @@
         if block is None or w not in block.workers:
             return
         self.note_mean(w)
-        if len(w.flights) + len(w.lingering) >= w.mean or self.copies + 1 > 0.2 * self.firsts:
+        if w.held >= w.mean or self.copies + 1 > 0.2 * self.firsts:
             return
         row = block.workers.index(w)
         for wi in block.items[row:] + block.items[:row]:
--- a/opalwick/interface.py
+++ b/opalwick/interface.py
@@ -177,6 +177,11 @@
     busy: float = 0.0          # slots taken or waited for, by all
     residual: float = 0.0      # seconds that a work item there has still to run, in the mean
 
+    @property
+    def held(self) -> int:
+        """Own hand-offs in flight, with those cancelled that may still be worked on."""
+        return len(self.flights) + len(self.lingering)
+
 
 @dataclass(slots=True, eq=False)
 class Zone:
--- a/opalwick/lab/faults.py
+++ b/opalwick/lab/faults.py
@@ -234,26 +234,25 @@
             del table[key]
 
 
-@fault(1.0, "links from schedulers to workers fall silent: nothing comes through, nothing is reset")
-def silent_links(world: World, fault: Fault, draw: random.Random) -> Steps:
+def _cut(world: World, fault: Fault, draw: random.Random, table: dict) -> Steps:
+    """Links stand in the table meanwhile, and what is open on them ends."""
     assert world.processes is not None
     hit = _links(world, fault, draw)
-    _more(world.links.silent, hit, 1)
+    _more(table, hit, 1)
     for link in hit:
         world.processes.cut(*link)
     yield
-    _more(world.links.silent, hit, -1)
+    _more(table, hit, -1)
+
+
+@fault(1.0, "links from schedulers to workers fall silent: nothing comes through, nothing is reset")
+def silent_links(world: World, fault: Fault, draw: random.Random) -> Steps:
+    yield from _cut(world, fault, draw, world.links.silent)
 
 
 @fault(1.0, "new connections on links are refused")
 def refused(world: World, fault: Fault, draw: random.Random) -> Steps:
-    assert world.processes is not None
-    hit = _links(world, fault, draw)
-    _more(world.links.refused, hit, 1)
-    for link in hit:
-        world.processes.cut(*link)
-    yield
-    _more(world.links.refused, hit, -1)
+    yield from _cut(world, fault, draw, world.links.refused)
 
 
 @fault(0.2, "a share SIZE of the requests on links is cut half-way by a reset", 0.02, 0.6)
--- a/opalwick/protocol/discovery.py
+++ b/opalwick/protocol/discovery.py
@@ -7,10 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
-import httptools
-
 from opalwick.interface import ListForm, Phase
-from opalwick.protocol.http import Malformed, Message, Parser
+from opalwick.protocol.http import Malformed, received
 from opalwick.protocol.settings import Names
 from opalwick.transport.connection import Address, Connection, opened
 from opalwick.transport.limits import Limits
@@ -109,18 +107,12 @@
             self.connection = opened(self.limits.ring)
             self.connection.connect(self.place, self.limits.connect)
         self.connection.write(data, until - time.monotonic())
-        done: list[Message] = []
-        parser = Parser(httptools.HttpResponseParser, self.limits, done.append, most=self.limits.list)
-        while not done:
-            came = self.connection.read(until - time.monotonic())
-            if not came:
-                raise ConnectionError("discovery ended the connection")
-            parser.feed(came)
-        if not done[0].keep_alive:
+        found = received(self.connection, self.limits, until, self.limits.list)
+        if not found.keep_alive:
             self.close()
-        if done[0].status != 200:
-            raise ValueError(f"discovery answered {done[0].status}")
-        return rows(json.loads(done[0].body), self.names, self.unix)
+        if found.status != 200:
+            raise ValueError(f"discovery answered {found.status}")
+        return rows(json.loads(found.body), self.names, self.unix)
 
     def close(self) -> None:
         if self.connection is not None:
--- a/opalwick/protocol/http.py
+++ b/opalwick/protocol/http.py
@@ -1,11 +1,13 @@
 """HTTP/1.1 messages, parsed by httptools within the limits."""
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from typing import Any
 
 import httptools
 
+from opalwick.transport.connection import Connection
 from opalwick.transport.limits import Limits
 
 
@@ -135,3 +137,14 @@
     if close:
         lines.append("Connection: close")
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
+def received(connection: Connection, limits: Limits, until: float, most: int = 0) -> Message:
+    """The next response, once it is whole; ConnectionError where the other side ends before."""
+    done: list[Message] = []
+    parser = Parser(httptools.HttpResponseParser, limits, done.append, most=most)
+    while not done:
+        if not (came := connection.read(until - time.monotonic())):
+            raise ConnectionError("the other side ended the connection")
+        parser.feed(came)
+    return done[0]
--- a/opalwick/protocol/probes.py
+++ b/opalwick/protocol/probes.py
@@ -5,9 +5,7 @@
 import time
 from collections.abc import Sequence
 
-import httptools
-
-from opalwick.protocol.http import Malformed, Message, Parser
+from opalwick.protocol.http import Malformed, Message, received
 from opalwick.protocol.workers import figures
 from opalwick.transport.connection import Address
 from opalwick.transport.limits import Limits
@@ -23,25 +21,22 @@
         connection = pool.take(address)
     except NoRoom:
         return ()
-    until, done = time.monotonic() + limits.probe, list[Message]()
+    until = time.monotonic() + limits.probe
+    found: Message | None = None
     try:
         if not connection.used:
             connection.used = 1
             connection.connect(address, min(limits.connect, limits.probe))
         connection.write(b"GET /-/load HTTP/1.1\r\nHost: %b\r\n\r\n" % ("%s:%d" % address).encode(),
                          until - time.monotonic())
-        parser = Parser(httptools.HttpResponseParser, limits, done.append)
-        while not done:
-            if not (came := connection.read(until - time.monotonic())):
-                break
-            parser.feed(came)
+        found = received(connection, limits, until)
     except (OSError, Malformed):
         pass
-    if not done or not done[0].keep_alive:
+    if found is None or not found.keep_alive:
         connection.close()                      # what comes late must not be taken for another answer
     pool.give(address, connection)
     # 503 tells that it wants nothing new; its load is its load
-    return report(done[0].body, names) if done and done[0].status in (200, 503) else ()
+    return report(found.body, names) if found is not None and found.status in (200, 503) else ()
 
 
 def report(body: bytes, names: Sequence[str]) -> tuple[float, ...]:
--- a/opalwick/protocol/settings.py
+++ b/opalwick/protocol/settings.py
@@ -63,8 +63,8 @@
     def seconds(self, key: str, default: float | None = None) -> float:
         return self.number(key, None if default is None else default / _MICRO) * _MICRO
 
-    def flag(self, key: str) -> bool:
-        text = self.text(key)
+    def flag(self, key: str, default: str | None = None) -> bool:
+        text = self.text(key, default)
         if text not in ("true", "false"):
             raise BadStart(f"start value {key} is malformed: {text!r}")
         return text == "true"
@@ -118,11 +118,11 @@
         fall_multiple=values.number("guarantees.fall-multiple"),
         fall_span=values.seconds("guarantees.fall-us"), cold_share=values.number("guarantees.cold-share"),
         ramp=values.seconds("guarantees.ramp-time-us"),
-        tells_start=values.choice("family-info.tells-start", {"true": True, "false": False}, "false"),
+        tells_start=values.flag("family-info.tells-start", "false"),
         progress_every=values.seconds("family-info.progress-us", 0.0),
         tick=values.seconds("tick-us", 0.005), cpu=values.seconds("ceilings.cpu-us-per-request", 0.0),
         sized=values.choice("weights", _SIZED, "silent"),
-        may_probe=values.choice("ceilings.may-probe", {"true": True, "false": False}, "false"),
+        may_probe=values.flag("ceilings.may-probe", "false"),
         price_probe=values.number("prices.probe", 0.0),
         reports=values.choice("load-report.how", _REPORTS, "piggyback"), report=report)
 
@@ -138,7 +138,7 @@
         raise BadStart(f"load-report.names holds {names[0]!r}, but load-report.how is 'silent'")
     if how == "pull" and not names:
         raise BadStart("load-report.names is empty, but load-report.how is 'pull': probes would tell nothing")
-    if how == "pull" and values.text("ceilings.may-probe", "false") != "true":
+    if how == "pull" and not values.flag("ceilings.may-probe", "false"):
         raise BadStart("ceilings.may-probe is not true, but load-report.how is 'pull': nothing would be told")
 
 
