--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -1,8 +1,8 @@
 """All decisions of opalwick. The types of its inputs and decisions are defined in `interface.py`.
 
-How to call it: one Balancer a scheduler. Set the time with clock(), hand in what happened (listed, moved,
-taken, left, ended, began, progressed, reported, probed, told, summed), which only updates what is known,
-then pull decisions() until none is left; each decision counts as carried out once it is pulled.
+How to call it: one Balancer a scheduler. Set the time with clock(), hand in what happened (listed, banned,
+moved, taken, left, ended, began, progressed, reported, probed, told, summed), which only updates what is
+known, then pull decisions() until none is left; each counts as carried out once it is pulled.
 
 The ordinary path is the design's: a random worker, skips, blocks, cyclic-row copies, cancels at the first
 finish. Beside the design stand five mechanisms, each marked by its number where it is decided:
@@ -77,7 +77,7 @@
         if form is ListForm.FAILED:
             return
         if form is not ListForm.CHANGES:
-            for w in self.workers:
+            for w in self.listed_all:
                 w.phase = Phase.GONE            # missing from a full list is gone
         for w, zone, kind, cell, phase, ready_at, share in rows:
             if ready_at > w.ready_at and w.sign_at > 0:
@@ -89,7 +89,11 @@
             if zone not in self.zones:
                 late = self.terms.position / self.terms.schedulers  # they do not all tell at the same moment
                 self.zones[zone] = Zone(zone, self.now + self.TELL * late)
-        self.workers = [w for w in self.listed_all if w.phase is Phase.READY]
+        self.resize()
+
+    def banned(self, w: Worker, out: bool) -> None:
+        """By an operator's hand, until it is put back: it begins anew then, whatever it did before."""
+        w.renew(out)
         self.resize()
 
     def moved(self) -> None:
@@ -316,6 +320,7 @@
         self.mean_run = sum(c.run for c in self.terms.categories) / len(self.terms.categories)
 
     def resize(self) -> None:
+        self.workers = [w for w in self.listed_all if w.open]
         # until any report tells: what some item needs, and four, as few machines have fewer cores
         most = max((kind.size for kind in self.kinds.values() if kind.reports), default=self.largest)
         for w in self.listed_all:
@@ -331,9 +336,7 @@
     def warmth(self, w: Worker) -> float:
         """3: the share of its capacity that a worker is sure to have at its age."""
         t, age = self.terms, self.now - w.ready_at
-        if age >= t.ramp:
-            return 1.0
-        return min(1.0, t.cold_share + (1.0 - t.cold_share) * max(0.0, age) / t.ramp)
+        return min(1.0, t.cold_share + (1.0 - t.cold_share) * max(0.0, age) / t.ramp) if age < t.ramp else 1.0
 
     def look(self, w: Worker) -> None:
         """1: pace, busy slots and backlog of a worker at this moment."""
@@ -342,12 +345,10 @@
             return
         w.seen_at = now
         w.warm = self.warmth(w)
-        kind, mean = self.kinds[w.kind], self.mean_run
-        ran = asked = backlog = busy = 0.0
-        if w.asked:
-            # what it has shown is forgotten over some ten seconds: one condemned by chance is tried again
-            fade = math.exp((w.ran_at - now) / 10.0)
-            ran, asked = w.ran * fade, w.asked * fade
+        kind, mean, backlog, busy = self.kinds[w.kind], self.mean_run, 0.0, 0.0
+        # what it has shown is forgotten over some ten seconds: one condemned by chance is tried again
+        fade = math.exp((w.ran_at - now) / 10.0)
+        ran, asked = w.ran * fade, w.asked * fade
         if w.lingering:
             w.lingering = [ho for ho in w.lingering
                            if (ho.began_at or ho.sent_at + ho.wait) + ho.run > now]
@@ -366,8 +367,7 @@
         w.pace = (weight * (weight * w.size_pace + kind.ran) / (weight + kind.asked) + ran) / (weight + asked)
         # reports older than a few of their periods say little
         others = self.others + (w.others - self.others) * 0.5 ** min(60.0, (now - w.others_at) / 3.0)
-        w.busy_own, w.left_own = busy, backlog
-        theirs = 0.0
+        w.busy_own, w.left_own, theirs = busy, backlog, 0.0
         if self.tells:
             z = self.zones.get(w.zone)
             # words of more than a second ago are about a load that is gone
@@ -379,6 +379,10 @@
         w.busy = busy + others
         w.residual = (backlog + theirs + (others + 0.5) * half) / (w.busy + 0.5)
 
+    def avoids(self, w: Worker) -> bool:
+        """2: by the list, by an operator's hand, or after what it did."""
+        return not w.open or w.shun_until > self.now or w.rest_until > self.now
+
     def silent(self, w: Worker) -> bool:
         """1: a worker that gives no sign while its first hand-off should long have given one."""
         first = next((ho for ho in w.flights if not ho.copy), None)
@@ -391,7 +395,7 @@
     def may(self, wi: WorkItem, w: Worker) -> bool:
         """Whether this work item may be handed to this worker now, under the four rules."""
         t, c = self.terms, wi.category
-        if (wi.answered or self.now >= wi.expiry_at or w.phase is not Phase.READY
+        if (wi.answered or self.now >= wi.expiry_at or not w.open
                 or len(wi.hand_offs) >= t.hand_offs or not wi.calls):
             return False
         for ho in wi.hand_offs:
@@ -629,14 +633,12 @@
 
     def choose(self, wi: WorkItem) -> Worker | None:
         """The design's random draw, over the workers that promise about as much as the best one."""
-        found, best, now, t = [], 0.0, self.now, self.terms
+        found, best, t = [], 0.0, self.terms
         for w in self.bound(wi) or not wi.hand_offs and wi.looked or self.some():
-            if w.shun_until > now or w.rest_until > now:
-                continue
             held = w.held
             if not w.limit:
                 w.limit = 4.0 * w.slots         # a queue of a few times the slots; full answers cut it
-            if held >= w.limit or w.doubt and held or not self.may(wi, w):
+            if self.avoids(w) or held >= w.limit or w.doubt and held or not self.may(wi, w):
                 continue
             gain = self.gain(wi, w, self.prospect(wi, w), wi.slots)
             gain -= t.price_cross if w.zone != t.zone else 0.0      # 5: what earns less does not cross
--- a/opalwick/interface.py
+++ b/opalwick/interface.py
@@ -142,6 +142,7 @@
     kind: int = 0
     cell: int = 0
     phase: Phase = Phase.READY
+    out: bool = False          # left out by an operator's hand, whatever the list says
     ready_at: float = 0.0
     flights: dict[HandOff, None] = field(default_factory=dict)  # in the order sent
     lingering: list[HandOff] = field(default_factory=list)  # cancelled, perhaps still being worked on
@@ -177,6 +178,19 @@
     busy: float = 0.0          # slots taken or waited for, by all
     residual: float = 0.0      # seconds that a work item there has still to run, in the mean
 
+    @property
+    def open(self) -> bool:
+        """Whether the list and the operators let it have anything new."""
+        return self.phase is Phase.READY and not self.out
+
+    def renew(self, out: bool) -> None:
+        """Left out or put back: what it did before says nothing of what it will do then."""
+        self.out = out
+        self.doubt = self.turned = 0
+        self.shun_until = self.rest_until = -1e9
+        self.ran = self.asked = self.failed = self.tried = self.others = self.limit = 0.0
+        self.seen_at = -1.0
+
     @property
     def held(self) -> int:
         """Own hand-offs in flight, with those cancelled that may still be worked on."""
--- a/opalwick/processor/front.py
+++ b/opalwick/processor/front.py
@@ -130,7 +130,7 @@
             self.changed.set()
 
     def health(self, id: int, call: Unary) -> None:
-        self.server.send(id, NOT_SERVING if self.front.leaving else SERVING)
+        self.server.send(id, SERVING if self.front.ready() else NOT_SERVING)
         if not call.watch:
             self.streams.pop(id, None)
             self.server.finish(id, grpc.OK)
@@ -143,12 +143,16 @@
             stream.ends(how)
 
     def leave(self) -> None:
-        for id, stream in self.streams.items():
-            if isinstance(stream, Unary):
-                self.server.send(id, NOT_SERVING)
         self.server.leave()
         self.changed.set()
 
+    def told(self) -> None:
+        """Those that watch hear of the process's new state."""
+        for id, stream in self.streams.items():
+            if isinstance(stream, Unary) and stream.watch:
+                self.health(id, stream)
+        self.changed.set()
+
     def working(self) -> bool:
         return any(isinstance(stream, Conversation) for stream in self.streams.values())
 
@@ -219,6 +223,10 @@
                 self.rearmed_calls.wait(60.0 if when is None else min(60.0, when - time.monotonic()))
             self.exchange.wake()
 
+    def moved(self) -> None:
+        for connection in self.connections:
+            connection.told()
+
     def start(self) -> None:
         gevent.spawn(self.forever, self.keep_calls)
         self.accepting = gevent.spawn(self.forever, self.accept)
--- a/opalwick/program/configuration.py
+++ b/opalwick/program/configuration.py
@@ -23,6 +23,7 @@
     name: str
     listen: Address
     discovery: Address
+    operator: Address | None
     peer_listen: Address | None
     peers: list[Address]
     seed: int
@@ -77,6 +78,11 @@
         raise BadConfiguration(f"BALANCER_CONFIG is not JSON: {problem}") from None
     if not isinstance(given, dict):
         raise BadConfiguration("BALANCER_CONFIG is not an object")
+    listen = _address(given.get("listen") or environment.get("BALANCER_LISTEN"), "listen", 0)
+    operator = given.get("operator") or environment.get("BALANCER_OPERATOR")
+    operator_at = None if operator is None else _address(operator, "operator", 0)
+    if operator_at == listen and listen[1]:
+        raise BadConfiguration(f"operator is malformed: {operator!r} is where clients connect")
     seed = _take(given, "seed", str, "0")
     try:
         seed_number = int(seed, 16)
@@ -101,7 +107,7 @@
         raise BadConfiguration(f"settings: {problem}") from None
     return Configuration(
         name=_take(given, "name", str, environment.get("BALANCER_NAME", "opalwick")),
-        listen=_address(given.get("listen") or environment.get("BALANCER_LISTEN"), "listen", 0),
+        listen=listen, operator=operator_at,
         discovery=_address(given.get("discovery") or environment.get("BALANCER_DISCOVERY"), "discovery"),
         peer_listen=None if peer_listen is None else _address(peer_listen, "peer_listen", 0),
         peers=[_address(peer, f"peers.{i}") for i, peer in enumerate(peers)], seed=seed_number,
--- a/opalwick/program/core.py
+++ b/opalwick/program/core.py
@@ -3,6 +3,7 @@
 
 import time
 from collections.abc import Callable
+from enum import Enum
 from typing import Any
 
 import gevent
@@ -12,6 +13,8 @@
 
 from opalwick.interface import ListForm
 from opalwick.program.configuration import BadConfiguration, Configuration
+from opalwick.program.operators import Operators
+from opalwick.protocol import figures
 from opalwick.protocol.discovery import Discovery, rows
 from opalwick.protocol.probes import probe
 from opalwick.routing.reducer import Datagram, Probe, Reducer, Timer, Watch
@@ -20,6 +23,14 @@
 from opalwick.transport.pool import Pool
 
 
+class State(Enum):
+    """Of the process. Leaving is for good."""
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"       # by an operator's hand: clients are sent away, until they are let in again
+    LEAVING = "leaving"         # told to end
+
+
 class Core:
     """A front is a subclass: it feeds `put` with what is asked for, and carries out Send, Close and
     Answer.
@@ -35,7 +46,9 @@
         unix = time.time() - now
         self.reducer = Reducer(c.terms, c.seed, now)
         self.pool = Pool(c.limits.workers, c.limits.idle_worker, c.limits.ring)     # to workers
-        self.leaving = False                    # told to end
+        self.state = State.STARTING
+        self.counts = figures.Counts(c.names.categories.values())
+        self.operators = Operators(c.operator, c.limits, self) if c.operator else None
         self.wake_at, self.rearmed = now, Event()
         self.peers = {place: i for i, place in enumerate(c.peers)}
         self.datagrams = Datagrams(c.peer_listen) if c.peer_listen and c.terms.may_tell else None
@@ -109,6 +122,37 @@
         if (peer := self.peers.get(sender)) is not None:
             self.put("heard", peer, octets)
 
+    # ---- the state of the process, and what operators ask for
+
+    def move(self, state: State) -> None:
+        if state is not self.state and self.state is not State.LEAVING:
+            logger.info("{} was {} and is {}", self.configuration.name, self.state.value, state.value)
+            self.state = state
+            self.moved()
+
+    def moved(self) -> None:
+        """What a front does about a new state."""
+
+    def ready(self) -> bool:
+        return self.state is State.SERVING
+
+    def drain(self, on: bool) -> bool:
+        """Whether that holds now: one that leaves sends clients away, and lets none in again."""
+        self.move(State.DRAINING if on else State.SERVING)
+        return on or self.state is State.SERVING
+
+    def worker_out(self, id: str, out: bool) -> bool:
+        """Leaves a worker out or puts it back; False where there is none with this id."""
+        if id not in self.reducer.workers:
+            return False
+        logger.info("worker {} is {} by hand", id, "left out" if out else "put back")
+        self.put("disabled" if out else "enabled", id)
+        return True
+
+    def figures(self) -> bytes:
+        return figures.text(self.names.categories, self.counts,
+                            {"open_requests": self.open_items(), **self.reducer.gauges()})
+
     # ---- running
 
     def reread(self) -> None:
@@ -165,11 +209,15 @@
             gevent.spawn(self.forever, work)
         if self.datagrams is not None:
             gevent.spawn(self.forever, self.datagrams.receive, self.heard)
+        if self.operators is not None:
+            gevent.spawn(self.forever, self.operators.accept)
+            logger.info("operators call {}:{}", *self.operators.place)
+        self.move(State.SERVING)
         self.start()
         logger.info("{} serves on {}:{}", self.configuration.name, *self.place)
         self.stop.wait()
         logger.info("{} is to end; {} work items unanswered", self.configuration.name, self.open_items())
-        self.leaving = True
+        self.move(State.LEAVING)
         self.put("closing", time.monotonic() + self.limits.leave)
         self.close()
         logger.info("{} ends", self.configuration.name)
--- /dev/null
+++ b/opalwick/program/operators.py
@@ -0,0 +1,53 @@
+"""The operators' front: a listener of its own, in every process that schedules.
+
+Its calls have few descriptors and one deadline each, so those that stay silent hold up nobody; nothing that
+a call does waits.
+"""
+from __future__ import annotations
+
+import time
+
+import gevent
+from gevent import socket
+
+from opalwick.protocol.operators import Serves, converse
+from opalwick.transport.connection import Address, Connection, bind
+from opalwick.transport.limits import Limits
+
+
+class Operators:
+    def __init__(self, place: Address, limits: Limits, serves: Serves) -> None:
+        self.limits, self.serves = limits, serves
+        self.calls: dict[Connection, None] = {}     # in the order accepted
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bind(self.listener, place)
+        self.place: Address = self.listener.getsockname()
+        self.listener.listen(self.limits.backlog)
+
+    def accept(self) -> None:
+        """Runs in a greenlet of its own."""
+        while True:
+            socket.wait_read(self.listener.fileno())
+            # at the brim the oldest goes: a call is answered as it comes, so it has said nothing whole so far
+            while len(self.calls) >= self.limits.operators:
+                oldest = next(iter(self.calls))
+                del self.calls[oldest]
+                oldest.close()
+            try:
+                connection = Connection(self.listener.accept()[0], self.limits.ring)
+            except OSError:                     # no descriptor left, or it has gone away again
+                gevent.sleep(0.01)
+                continue
+            self.calls[connection] = None
+            gevent.spawn(self.serve, connection)
+            gevent.sleep(0)
+
+    def serve(self, connection: Connection) -> None:
+        try:
+            converse(connection, self.limits, self.serves, time.monotonic() + self.limits.call)
+        except OSError:                         # gone, silent for too long, or closed from here
+            pass
+        finally:
+            self.calls.pop(connection, None)
+            connection.close()
--- a/opalwick/program/scheduler.py
+++ b/opalwick/program/scheduler.py
@@ -1,6 +1,7 @@
 """The HTTP front: clients' connections on one side, hand-offs to workers on the other."""
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
 from typing import Any
@@ -10,7 +11,7 @@
 from gevent.event import Event
 
 from opalwick.program.configuration import Configuration
-from opalwick.program.core import Core
+from opalwick.program.core import Core, State
 from opalwick.protocol.clients import Call, Conversation, come_back
 from opalwick.protocol.workers import HandingOff
 from opalwick.routing.reducer import Answer, Close, Final, Send
@@ -26,7 +27,8 @@
         self.calls: dict[bytes, Call] = {}      # taken and not yet answered, by the client's id
         self.out: dict[tuple[bytes, int], HandingOff] = {}
         self.bodies = self.open_count = 0       # bytes, work items: unanswered
-        self.closing = False                    # takes nothing new any more
+        self.close_at = math.inf                # from then on connections end between requests
+        self.turned = Event()                   # that has changed
         # when the door itself defers: a second, in which a crowd passes, or as long as clients honour
         self.advice = come_back(min(1.0, c.terms.retry_after))
 
@@ -46,7 +48,7 @@
 
                 handing = self.out[id, number] = HandingOff(
                     place, call.message, until, lambda: call.taken and call.reply is None, self.pool,
-                    self.limits, self.names.figures, tell)
+                    self.limits, self.names.figures, self.counts, tell)
                 gevent.spawn(handing.run)
             case Close(id, number):
                 if (id, number) in self.out:
@@ -62,8 +64,9 @@
 
     # ---- what the clients' side asks for
 
-    def ready(self) -> bool:
-        return not self.leaving
+    @property
+    def closing(self) -> bool:
+        return time.monotonic() >= self.close_at
 
     def room_for(self, body: int) -> bool:
         return self.open_count < self.limits.work_items and self.bodies + body <= self.limits.bodies
@@ -146,21 +149,38 @@
         finally:
             self.conversations.pop(conversation, None)
 
+    def moved(self) -> None:
+        now, limits = time.monotonic(), self.limits
+        wait = {State.DRAINING: limits.drained, State.LEAVING: limits.closing}.get(self.state, math.inf)
+        self.close_at = now + wait if wait == math.inf else min(self.close_at, now + wait)
+        self.turned.set()
+
+    def usher(self) -> None:
+        """Ends connections between requests while it is closing; the others end after their answer."""
+        while True:
+            self.turned.clear()
+            if not self.closing:
+                self.turned.wait(min(60.0, self.close_at - time.monotonic()))
+                continue
+            # what has just come may still say what it wants
+            for conversation in [c for c in self.conversations
+                                 if c.waits(0.0 if c.asked else self.limits.quiet) is not None
+                                 and not c.reads()]:
+                conversation.close()
+            gevent.sleep(0.01)
+
     def start(self) -> None:
+        gevent.spawn(self.forever, self.usher)
         self.accepting = gevent.spawn(self.forever, self.accept, self.listener)
 
     def open_items(self) -> int:
         return self.open_count
 
     def close(self) -> None:
-        gevent.sleep(self.limits.closing)
-        self.closing = True
+        gevent.sleep(self.close_at - time.monotonic())
         self.accepting.kill()
         self.empty(self.listener)
         self.listener.close()
         # a request that has not come whole is not taken, so one that drips on may be left
         while self.conversations and time.monotonic() < self.reducer.leave_at + self.limits.linger:
-            # what waits may be closed; the others are closed after their answer
-            for conversation in [c for c in self.conversations if c.waits() is not None and not c.reads()]:
-                conversation.close()
             gevent.sleep(0.01)
--- a/opalwick/protocol/clients.py
+++ b/opalwick/protocol/clients.py
@@ -11,6 +11,7 @@
 from gevent.event import Event
 
 from opalwick.interface import Category, Customer, Effect
+from opalwick.protocol.figures import Counts
 from opalwick.protocol.http import Malformed, Message, Parser, response
 from opalwick.protocol.settings import Names
 from opalwick.transport.connection import Connection
@@ -23,12 +24,13 @@
 
 class Call:
     """One request and the answer that is owed for it."""
-    __slots__ = ("message", "reply", "close", "changed", "taken")
+    __slots__ = ("message", "reply", "close", "changed", "taken", "category")
 
     def __init__(self, message: Message, close: bool, changed: Event) -> None:
         self.message, self.close, self.changed = message, close, changed
         self.reply: tuple[int, bytes, tuple[str, ...]] | None = None
         self.taken = False                      # handed on as a work item
+        self.category: Category | None = None   # where it asks for one
 
     @property
     def id(self) -> bytes:
@@ -42,9 +44,13 @@
 
 class Takes(Protocol):
     """What the scheduler does for the clients' side; nothing of it waits."""
-    closing: bool       # it is about to end: connections are closed as soon as nothing is owed on them
+    counts: Counts
     advice: tuple[str, ...]     # fields that tell when to come back
 
+    @property
+    def closing(self) -> bool:
+        """Connections are closed as soon as nothing is owed on them."""
+
     def ready(self) -> bool: ...
 
     def room_for(self, body: int) -> bool: ...
@@ -249,6 +255,7 @@
         if ready:                               # which makes no usual client of those that ask so and stay
             return call.answer(200 if self.scheduler.ready() else 503)
         self.asked += 1
+        call.category = fields[0]
         if self.full or not self.scheduler.room_for(len(message.body)):
             return call.answer(503, b"", *self.scheduler.advice)
         call.taken = True
@@ -271,6 +278,8 @@
                 status, body, fields = reply
                 self.connection.write(response(status, body, call.close, *fields), self.limits.write)
                 self.connection.idle_since = time.monotonic()
+                if call.category is not None:
+                    self.scheduler.counts.final(call.category, status)
                 self.owed.popleft()
                 self.scheduler.done(call)
                 self.written.set()
--- a/opalwick/protocol/workers.py
+++ b/opalwick/protocol/workers.py
@@ -9,6 +9,7 @@
 import httptools
 
 from opalwick.interface import Outcome
+from opalwick.protocol.figures import Counts
 from opalwick.protocol.http import Malformed, Message, Parser, blames
 from opalwick.transport.connection import Address, Connection
 from opalwick.transport.limits import Limits
@@ -75,15 +76,16 @@
 
 class HandingOff:
     """One hand-off on its way; `tell` gets the reducer's inputs of it."""
-    __slots__ = ("address", "id", "data", "until", "wanted", "pool", "limits", "names", "tell", "connection",
-                 "answer", "given_up", "fault")
+    __slots__ = ("address", "id", "data", "until", "wanted", "pool", "limits", "names", "counts", "tell",
+                 "connection", "answer", "given_up", "fault")
 
     def __init__(self, address: Address, message: Message, until: float, wanted: Callable[[], bool],
-                 pool: Pool, limits: Limits, names: Sequence[str], tell: Callable[..., None]) -> None:
+                 pool: Pool, limits: Limits, names: Sequence[str], counts: Counts,
+                 tell: Callable[..., None]) -> None:
         self.address, self.until, self.wanted = address, until, wanted
         self.id = message.headers[b"x-correlation-id"].decode("latin-1")
         self.data = request(message, "%s:%d" % address, until - time.monotonic())
-        self.pool, self.limits, self.names, self.tell = pool, limits, names, tell
+        self.pool, self.limits, self.names, self.counts, self.tell = pool, limits, names, counts, tell
         self.connection: Connection | None = None
         self.answer, self.given_up = Answer(limits), False
         self.fault = 0                          # the status by which the worker blames the client
@@ -132,6 +134,7 @@
                     raise ConnectionAbortedError
             connection.write(self.data, self.until - time.monotonic())
             self.data = b""
+            self.counts.relayed += 1
             return None
         except OSError:
             connection.close()
--- a/opalwick/routing/reducer.py
+++ b/opalwick/routing/reducer.py
@@ -100,6 +100,15 @@
             known.append((worker, zone, kind, cell, Phase(phase), ready_at, share))
         self.balancer.listed(form, known)
 
+    def disabled(self, name: Hashable) -> None:
+        """By an operator's hand: nothing new goes there until it is put back, whatever is listed."""
+        if name in self.workers:
+            self.balancer.banned(self.workers[name], True)
+
+    def enabled(self, name: Hashable) -> None:
+        if name in self.workers:
+            self.balancer.banned(self.workers[name], False)
+
     def moved(self) -> None:
         """The list is to be had at another place."""
         self.balancer.moved()
@@ -173,6 +182,14 @@
     def woken(self) -> None:
         """The time has moved on, which is all there is to it."""
 
+    # ---- figures
+
+    def gauges(self) -> dict[str, int]:
+        """Of the workers, as they are at this moment."""
+        listed = [w for w in self.balancer.listed_all if w.phase is not Phase.GONE]
+        return {"registry_entries": len(listed),
+                "out_of_rotation": sum(map(self.balancer.avoids, listed))}
+
     # ---- effects
 
     def effects(self) -> Iterator[Effect]:
--- a/opalwick/transport/limits.py
+++ b/opalwick/transport/limits.py
@@ -15,6 +15,7 @@
     backlog: int            # connections that wait to be accepted
     work_items: int         # taken and unanswered, of all connections
     headers: int            # header fields of one message
+    operators: int          # calls of operators at once
     # sizes in bytes
     ring: int               # one direction of one connection
     body: int               # one message's
@@ -39,6 +40,8 @@
     watch: float            # one watch call waits so long at discovery
     silent: float           # and is given up so long after that
     queued: float           # a call that does not wait may stand in discovery's queue so long
+    call: float             # one call of an operator, from its start to its end
+    drained: float          # after a drain begins new connections may come and kept ones stay so long
     closing: float          # after SIGTERM connections stay open and new ones are taken so long
     leave: float            # all is answered by then after SIGTERM
 
@@ -48,7 +51,7 @@
     """Budgets by use, out of what the machine gives."""
     # SIGKILL comes no sooner than 0.7 s after the longest expiry or three seconds; some is kept in hand
     leave = min(longest, 3.0) + 0.7 - 0.3
-    # files, discovery, datagrams, the listener and what the event loop holds
+    # files, discovery, datagrams, the listeners, operators' calls and what the event loop holds
     room = max(16, sockets - 32)
     spare = max(2, room // 32)
     memory, ring, body = memory_mb * 1e6, 8192, 65536
@@ -64,6 +67,8 @@
         backlog=1024,
         # some kilobytes each, with their greenlets: an eighth of the memory
         work_items=max(64, min(max_open, int(memory / 8 / 8000))), headers=64,
+        # a few people and programs call at once; with the rest they stay under the 32 that are kept back
+        operators=12,
         # most messages pass in one piece; two for each of a thousand connections are a twelfth of the memory
         ring=ring, body=body, head=16384, bodies=int(memory / 6),
         # some thousands of workers
@@ -91,4 +96,8 @@
         # connections come for up to 0.4 s after SIGTERM, but clients that go on asking are served for as long
         # as what comes may well end; and those that have another scheduler move on before its own restart,
         # which where they restart in turn comes no sooner than this one may be killed
+        # an answer is due within a second, and one that says nothing holds a descriptor for nothing
+        call=2.0,
+        # the front asks each 0.1 s and sends new ones for 0.2 s more; those may come late by a loop's delay
+        drained=0.5,
         closing=min(leave, max(0.5, leave - 0.9)), leave=leave)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -13,6 +13,7 @@
                                 Phase, Probe, Report, Reports, Row, Send, Subscribe, Sum, Tell, Terms, Wake,
                                 Worker, WorkItem, WriteOff)
 from opalwick.protocol.clients import Call, Conversation
+from opalwick.protocol.figures import Counts
 from opalwick.protocol.settings import flat, read_names, read_terms
 from opalwick.routing.reducer import Answer, Effect as Asked, Reducer
 from opalwick.transport.connection import Connection
@@ -198,12 +199,13 @@
         self.calls: list[Call] = []
         self.closing, self.room, self.advice = False, room, ("Retry-After: 1",)
         terms = read_terms(settings())
+        names = read_names(settings(), terms)
+        self.counts = Counts(names.categories.values())
         self.sock, there = gevent.socket.socketpair()
         self.sock.settimeout(2.0)
         there = Plain(there)
         kept = limits(**changes)
-        self.conversation = Conversation(Connection(there, kept.ring), kept, read_names(settings(), terms),
-                                         self, full)
+        self.conversation = Conversation(Connection(there, kept.ring), kept, names, self, full)
         self.running = gevent.spawn(self.conversation.run)
 
     def ready(self) -> bool:
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -7,6 +7,7 @@
 import pytest
 from helper import Stand, chunked, limits
 
+from opalwick.protocol.figures import Counts
 from opalwick.protocol.http import Message
 from opalwick.protocol.workers import HandingOff
 from opalwick.transport.connection import Connection
@@ -17,7 +18,7 @@
     """Hand-offs to one stand-in."""
 
     def __init__(self, *script: bytes | None, last: bool = False, **changes) -> None:
-        self.limits, self.wanted = limits(**changes), True
+        self.limits, self.wanted, self.counts = limits(**changes), True, Counts(())
         self.stand, self.lines = Stand(*script, last=last), []
         self.place = self.stand.place
         self.pool = Pool(self.limits.workers, self.limits.idle_worker, self.limits.ring)
@@ -27,7 +28,7 @@
         message.method, message.target, message.body = b"POST", b"/look/7?x=1", body
         message.headers = {b"x-correlation-id": b"c1", b"idempotency-key": b"k"}
         handing = HandingOff(self.place, message, time.monotonic() + within, lambda: self.wanted,
-                             self.pool, self.limits, ["x0", "active"],
+                             self.pool, self.limits, ["x0", "active"], self.counts,
                              lambda *told: self.lines.append(self.line(*told)))
         if give_up == 0:
             handing.give_up()
