--- a/opalwick/protocol/http.py
+++ b/opalwick/protocol/http.py
@@ -80,7 +80,8 @@
             self.wrong(431, "header fields too large")
         if self.headed:                         # what follows a body must not take the place of the head
             return
-        name = name.lower()
+        # httptools hands on the blanks after a value that came in pieces; they are no part of it
+        name, value = name.lower(), value.strip(b" \t")
         # twice is one list, as HTTP has it: where one value is due, it is malformed
         before = self.message.headers.get(name)
         self.message.headers[name] = value if before is None else before + b", " + value
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -177,3 +177,18 @@
     client.running.join(2.0)
     client.hear()
     client.matches("client_idle")
+
+
+def test_blanks_round_a_value_are_no_part_of_it_however_the_request_is_cut() -> None:
+    """Values that came in pieces, or before a fold of blanks, kept them: a third of such requests got a 4xx."""
+    head = (b"POST /look/7 HTTP/1.1\r\nHost: app.svc \r\nX-Correlation-Id: \t c1 \r\nX-Service-Class: look \r\n"
+            b"X-Time-Left-Ms: 480 \t\r\nX-Weight-Hint: 1000 \r\nTransfer-Encoding: chunked \r\n\r\n1\r\nx\r\n0\r\n\r\n")
+    seen = []
+    for cut in (1, 7, 40, len(head)):
+        client = Client()
+        client.conversation.parser.feed(memoryview(b""), 0.0)
+        for at in range(0, len(head), cut):
+            client.conversation.parser.feed(memoryview(head[at:at + cut]), 0.0)
+        seen.append((client.lines, client.calls[0].id, client.conversation.last))
+        client.running.kill()
+    assert seen == [(["taken /look/7: 0.480 s, hint 0.001, slots 1, 1 bytes"], b"c1", False)] * 4
