--- a/opalwick/processor/front.py
+++ b/opalwick/processor/front.py
@@ -130,7 +130,7 @@
             self.changed.set()
 
     def health(self, id: int, call: Unary) -> None:
-        self.server.send(id, SERVING if self.front.ready() else NOT_SERVING)
+        self.server.send(id, SERVING if self.front.lets_in() else NOT_SERVING)
         if not call.watch:
             self.streams.pop(id, None)
             self.server.finish(id, grpc.OK)
--- a/opalwick/program/configuration.py
+++ b/opalwick/program/configuration.py
@@ -2,6 +2,8 @@
 from __future__ import annotations
 
 import json
+import os
+import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -23,6 +25,8 @@
     name: str
     listen: Address
     discovery: Address
+    inherited: int | None       # the descriptor of the clients' listener, where the platform holds it
+    directory: str              # where a process that follows finds this one; empty: nowhere
     operator: Address | None
     peer_listen: Address | None
     peers: list[Address]
@@ -62,6 +66,22 @@
     return value
 
 
+def _inherited(text: str | None) -> int | None:
+    """A listening stream socket that is open in this process."""
+    if not text:
+        return None
+    if not text.isascii() or not text.isdigit():
+        raise BadConfiguration(f"BALANCER_FD is malformed: {text!r} is not a descriptor's number")
+    try:
+        with socket.socket(fileno=os.dup(int(text))) as found:
+            if (found.type != socket.SOCK_STREAM
+                    or not found.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)):
+                raise BadConfiguration(f"BALANCER_FD is malformed: {text} does not listen")
+    except (OSError, OverflowError) as problem:
+        raise BadConfiguration(f"BALANCER_FD is malformed: {text} is no open socket: {problem}") from None
+    return int(text)
+
+
 def read(environment: Mapping[str, str], path: str | None = None) -> Configuration:
     """From the file that is named, else from that of BALANCER_CONFIG.
 
@@ -107,7 +127,8 @@
         raise BadConfiguration(f"settings: {problem}") from None
     return Configuration(
         name=_take(given, "name", str, environment.get("BALANCER_NAME", "opalwick")),
-        listen=listen, operator=operator_at,
+        listen=listen, inherited=_inherited(environment.get("BALANCER_FD")),
+        directory=environment.get("TMPDIR", ""), operator=operator_at,
         discovery=_address(given.get("discovery") or environment.get("BALANCER_DISCOVERY"), "discovery"),
         peer_listen=None if peer_listen is None else _address(peer_listen, "peer_listen", 0),
         peers=[_address(peer, f"peers.{i}") for i, peer in enumerate(peers)], seed=seed_number,
--- a/opalwick/program/core.py
+++ b/opalwick/program/core.py
@@ -13,9 +13,11 @@
 
 from opalwick.interface import ListForm
 from opalwick.program.configuration import BadConfiguration, Configuration
+from opalwick.program.handover import Handover
 from opalwick.program.operators import Operators
 from opalwick.protocol import figures
-from opalwick.protocol.discovery import Discovery, rows
+from opalwick.protocol.discovery import Discovery, listing, rows
+from opalwick.protocol.handover import count, names
 from opalwick.protocol.probes import probe
 from opalwick.routing.reducer import Datagram, Probe, Reducer, Timer, Watch
 from opalwick.transport.connection import Address, bind
@@ -24,11 +26,11 @@
 
 
 class State(Enum):
-    """Of the process. Leaving is for good."""
+    """Of the process."""
     STARTING = "starting"
     SERVING = "serving"
     DRAINING = "draining"       # by an operator's hand: clients are sent away, until they are let in again
-    LEAVING = "leaving"         # told to end
+    LEAVING = "leaving"         # told to end, or another process serves in its place
 
 
 class Core:
@@ -43,7 +45,7 @@
         c = self.configuration = configuration
         self.limits, self.names = c.limits, c.names
         now = time.monotonic()
-        unix = time.time() - now
+        unix = self.unix = time.time() - now
         self.reducer = Reducer(c.terms, c.seed, now)
         self.pool = Pool(c.limits.workers, c.limits.idle_worker, c.limits.ring)     # to workers
         self.state = State.STARTING
@@ -51,7 +53,12 @@
         self.operators = Operators(c.operator, c.limits, self) if c.operator else None
         self.wake_at, self.rearmed = now, Event()
         self.peers = {place: i for i, place in enumerate(c.peers)}
-        self.datagrams = Datagrams(c.peer_listen) if c.peer_listen and c.terms.may_tell else None
+        self.datagrams: Datagrams | None = None
+        self.handover = Handover(c.directory, f"{c.name} {c.listen}", self, self.forever
+                                 ) if c.directory and c.inherited is not None else None
+        self.relieved = False                   # by a process that follows
+        self.other_ids: set[Any] = set()        # work items open in the other process
+        self.lent = 0                           # descriptors that it holds
         try:
             version, _, known = rows(c.known, c.names, unix)
         except ValueError as problem:
@@ -85,7 +92,8 @@
             case Watch():
                 gevent.spawn(self.discovery.watch)
             case Datagram(to, octets):
-                if self.datagrams is not None and to < len(self.configuration.peers):
+                # the one that follows speaks for both: words of two would take each other's place
+                if self.datagrams is not None and not self.relieved and to < len(self.configuration.peers):
                     self.datagrams.send(self.configuration.peers[to], octets)
 
     def probe(self, worker: Any, place: Address) -> None:
@@ -119,36 +127,126 @@
         self.put("listed", form, found)
 
     def heard(self, sender: Address, octets: bytes) -> None:
-        if (peer := self.peers.get(sender)) is not None:
+        if not self.relieved and (peer := self.peers.get(sender)) is not None:
             self.put("heard", peer, octets)
 
     # ---- the state of the process, and what operators ask for
 
     def move(self, state: State) -> None:
-        if state is not self.state and self.state is not State.LEAVING:
+        # told to end it leaves for good; relieved it may be needed again
+        if state is not self.state and not (self.state is State.LEAVING and self.stop.is_set()):
             logger.info("{} was {} and is {}", self.configuration.name, self.state.value, state.value)
             self.state = state
             self.moved()
+            if state is State.SERVING and self.handover is not None:
+                self.handover.serving()
 
     def moved(self) -> None:
         """What a front does about a new state."""
 
     def ready(self) -> bool:
+        """Whether this process serves."""
         return self.state is State.SERVING
 
-    def drain(self, on: bool) -> bool:
-        """Whether that holds now: one that leaves sends clients away, and lets none in again."""
-        self.move(State.DRAINING if on else State.SERVING)
-        return on or self.state is State.SERVING
+    def lets_in(self) -> bool:
+        """Whether the scheduler does, by this process or the one that follows."""
+        return self.ready() or self.relieved
 
-    def worker_out(self, id: str, out: bool) -> bool:
+    def drain(self, on: bool, told: bool = False) -> bool:
+        """Whether that holds now: one that leaves sends clients away, and lets none in again.
+
+        `told`: by the other process, which knows it.
+        """
+        if self.state is not State.LEAVING:
+            self.move(State.DRAINING if on else State.SERVING)
+        if self.handover is not None and not told:
+            self.handover.tell("drain", on=on)
+        return on or self.lets_in()
+
+    def worker_out(self, id: str, out: bool, told: bool = False) -> bool:
         """Leaves a worker out or puts it back; False where there is none with this id."""
         if id not in self.reducer.workers:
             return False
         logger.info("worker {} is {} by hand", id, "left out" if out else "put back")
         self.put("disabled" if out else "enabled", id)
+        if self.handover is not None and not told:
+            self.handover.tell("out", who=id, out=out)
         return True
 
+    # ---- a new version under load: the old and the new process
+
+    def state_of_things(self) -> dict[str, Any]:
+        """For the process that follows: all that it must know before it serves."""
+        return {"list": listing(self.discovery.version, self.reducer.rows(), self.names, self.unix),
+                "out": self.reducer.out(), "draining": self.state is State.DRAINING,
+                "learned": self.reducer.learned(), **self.goings_on()}
+
+    def goings_on(self) -> dict[str, Any]:
+        """For the other process: what it must count with its own."""
+        return {"ids": self.open_ids(), "descriptors": self.descriptors()}
+
+    def descriptor(self) -> int | None:
+        return None if self.datagrams is None else self.datagrams.sock.fileno()
+
+    def take_over(self, told: dict[str, Any]) -> State:
+        """What the process before knows; the state that follows from it."""
+        try:
+            self.discovery.version, _, self.known = rows(told.get("list"), self.names, self.unix)
+        except ValueError as problem:
+            logger.warning("the process before: {}", problem)
+        self.put("listed", ListForm.CACHED, self.known)
+        self.put("taught", told.get("learned"))
+        for name in names(told, "out"):
+            self.put("disabled", name)
+        self.heard_from_other("now", told)
+        return State.DRAINING if told.get("draining") is True else State.SERVING
+
+    def heard_from_other(self, kind: str, told: dict[str, Any]) -> None:
+        match kind:
+            case "now":
+                self.other_ids = {name.encode("latin-1", "replace") for name in names(told, "ids")}
+                self.lent = min(count(told, "descriptors"), self.limits.clients + self.limits.workers)
+                self.pool.most = self.share(self.limits.workers)
+            case "out":
+                for name in names({"who": [told.get("who")]}, "who"):
+                    self.worker_out(name, told.get("out") is True, True)
+            case "drain":
+                self.drain(told.get("on") is True, True)
+            case "serving":
+                if self.handover is not None and not self.handover.follows and not self.stop.is_set():
+                    self.relieved = True
+                    self.move(State.LEAVING)
+                    gevent.spawn(self.depart)
+            case _:
+                logger.warning("the other process says {!r}, which is passed over", kind[:40])
+
+    def share(self, most: int) -> int:
+        """Of a limit: while there is another process, both together keep to it."""
+        return max(4, most - self.lent * most // (self.limits.clients + self.limits.workers))
+
+    def alone(self) -> None:
+        self.other_ids, self.lent, self.pool.most = set(), 0, self.limits.workers
+        if self.relieved and not self.stop.is_set():
+            logger.warning("the process that follows is gone; this one goes on")
+            self.relieved = False
+            self.move(State.SERVING)
+
+    def depart(self) -> None:
+        """Relieved: it ends once it has finished."""
+        while self.relieved and not self.finished():
+            gevent.sleep(0.02)
+        if self.relieved:
+            self.stop.set()
+
+    def open_ids(self) -> list[str]:
+        return []
+
+    def descriptors(self) -> int:
+        return 0
+
+    def finished(self) -> bool:
+        return not self.open_items()
+
     def figures(self) -> bytes:
         return figures.text(self.names.categories, self.counts,
                             {"open_requests": self.open_items(), **self.reducer.gauges()})
@@ -184,12 +282,29 @@
 
     def open(self) -> None:
         """The listener at `place`; before the list is handed in, which may take a while."""
+        if self.configuration.inherited is not None:
+            self.listener = socket.socket(fileno=self.configuration.inherited)
+            self.place = self.listener.getsockname()
+            return
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         bind(self.listener, self.place)
         self.place = self.listener.getsockname()
         self.listener.listen(self.limits.backlog)
 
+    def listen_to_words(self) -> None:
+        """Runs in a greenlet of its own. The place may still be held by a process that is about to end."""
+        c = self.configuration
+        while self.datagrams is None:
+            assert c.peer_listen is not None
+            passed = None if self.handover is None else self.handover.passed
+            try:
+                self.datagrams = Datagrams(c.peer_listen, passed)
+            except OSError as problem:
+                logger.warning("no words from other schedulers: {}:{}: {}", *c.peer_listen, problem)
+                gevent.sleep(1.0)
+        self.datagrams.receive(self.heard)
+
     def start(self) -> None:
         """The front's standing greenlets."""
         raise NotImplementedError
@@ -204,16 +319,22 @@
     def run(self) -> None:
         """Until it was told to close and all is answered."""
         self.open()
-        self.put("listed", ListForm.CACHED, self.known)
-        for work in (self.keep_time, self.reread, self.sweep):
-            gevent.spawn(self.forever, work)
-        if self.datagrams is not None:
-            gevent.spawn(self.forever, self.datagrams.receive, self.heard)
         if self.operators is not None:
             gevent.spawn(self.forever, self.operators.accept)
             logger.info("operators call {}:{}", *self.operators.place)
-        self.move(State.SERVING)
+        state, told = State.SERVING, None if self.handover is None else self.handover.meet()
+        if told is None:
+            self.put("listed", ListForm.CACHED, self.known)
+        else:
+            state = self.take_over(told)
+        for work in (self.keep_time, self.reread, self.sweep):
+            gevent.spawn(self.forever, work)
+        if self.configuration.peer_listen and self.configuration.terms.may_tell:
+            gevent.spawn(self.forever, self.listen_to_words)
         self.start()
+        self.move(state)
+        if self.handover is not None:
+            self.handover.start()
         logger.info("{} serves on {}:{}", self.configuration.name, *self.place)
         self.stop.wait()
         logger.info("{} is to end; {} work items unanswered", self.configuration.name, self.open_items())
--- /dev/null
+++ b/opalwick/program/handover.py
@@ -0,0 +1,218 @@
+"""A new version under load: the process that follows meets the one before on a Unix socket.
+
+Neither waits for the other without a limit, and without the other each is a whole scheduler. One greenlet
+reads the link; what is said goes into a buffer of the kernel's, and a side that doesn't read loses the link.
+"""
+from __future__ import annotations
+
+import array
+import os
+import struct
+import time
+import zlib
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import gevent
+from gevent import socket
+from loguru import logger
+
+from opalwick.protocol.handover import Odd, Reader, packed
+
+MEET = 1.5      # seconds for all that the old one tells: a new one has six, and must be up by itself in time
+TALK = 0.1      # seconds between words of what is going on: a tenth of what clients wait for most work
+_READ = 65536
+
+
+class Process(Protocol):
+    """What the two need of each other's scheduler; nothing of it waits."""
+
+    def state_of_things(self) -> dict[str, Any]: ...
+
+    def goings_on(self) -> dict[str, Any]: ...
+
+    def descriptor(self) -> int | None:
+        """To go over with the state."""
+
+    def heard_from_other(self, kind: str, told: dict[str, Any]) -> None: ...
+
+    def alone(self) -> None:
+        """The other process is gone."""
+
+    relieved: bool      # the process that follows serves
+
+
+class Link:
+    """The connection to the other process."""
+
+    def __init__(self, sock: Any) -> None:
+        self.sock, self.reader = sock, Reader()
+        self.over = False
+
+    def say(self, kind: str, **fields: Any) -> None:
+        if not self.over:
+            try:
+                self.sock.settimeout(1.0)
+                self.sock.sendall(packed(kind, **fields))
+            except OSError:
+                self.close()
+
+    def hear(self, within: float | None) -> list[tuple[str, dict[str, Any]]]:
+        """What has come; TimeoutError, Odd, or ConnectionError at the other's end."""
+        if within is not None and within <= 0:
+            raise TimeoutError
+        self.sock.settimeout(within)
+        if not (data := self.sock.recv(_READ)):
+            raise ConnectionError("the other process has ended the link")
+        return self.reader.feed(data)
+
+    def close(self) -> None:
+        if not self.over:
+            self.over = True
+            self.sock.close()
+
+
+class Handover:
+    def __init__(self, directory: str, scheduler: str, process: Process,
+                 forever: Callable[..., None]) -> None:
+        """`scheduler`: what both processes are told alike."""
+        self.forever = forever
+        self.path = os.path.join(directory, f"opalwick-{zlib.crc32(scheduler.encode()):08x}.sock")
+        self.process = process
+        self.link: Link | None = None
+        self.passed: int | None = None          # a descriptor that came over
+        self.follows = False                    # the other process was here before
+        self.early: list[tuple[str, dict[str, Any]]] = []   # came along with its state
+        self.listener: Any = None
+
+    # ---- the new one
+
+    def meet(self) -> dict[str, Any] | None:
+        """What the process before tells; none where there is none that does within the time."""
+        until, sock = time.monotonic() + MEET, socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        link = Link(sock)
+        try:
+            sock.settimeout(MEET)
+            sock.connect(self.path)
+            link.say("hello")
+            # its first byte carries the descriptor, if any
+            sock.settimeout(max(0.0, until - time.monotonic()))
+            mark, extra, _, _ = sock.recvmsg(1, socket.CMSG_SPACE(struct.calcsize("i")))
+            for level, kind, data in extra:
+                if level == socket.SOL_SOCKET and kind == socket.SCM_RIGHTS and len(data) >= 4:
+                    self.passed = array.array("i", data[:4])[0]
+            if mark != b"+":
+                raise Odd("it hands nothing over")
+            while True:
+                came = link.hear(until - time.monotonic())
+                if came and came[0][0] == "state":
+                    self.link, self.follows, self.early = link, True, came[1:]
+                    logger.info("the process before has told what it knows")
+                    return came[0][1]
+        except (FileNotFoundError, ConnectionRefusedError):
+            pass                                # none is there, or it left its file behind
+        except (OSError, Odd) as problem:
+            logger.warning("no hand-over from the process before: {}", problem or type(problem).__name__)
+        link.close()
+        if self.passed is not None:
+            os.close(self.passed)
+            self.passed = None
+        return None
+
+    def serving(self) -> None:
+        """Told to the process before: it can leave the door."""
+        if self.follows:
+            self.tell("serving")
+
+    # ---- the old one
+
+    def listen(self) -> None:
+        """For the process that follows; what a former one left there is replaced whole. One that follows
+        leaves the place to the other until it is alone: should it end first, the other is still found there.
+        """
+        if self.listener is not None or self.link is not None:
+            return
+        listener, beside = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM), f"{self.path}.{os.getpid()}"
+        try:
+            listener.bind(beside)
+            os.chmod(beside, 0o600)
+            listener.listen(4)
+            os.rename(beside, self.path)
+        except OSError as problem:
+            listener.close()
+            logger.warning("no process can follow under load: {}: {}", self.path, problem)
+            return
+        self.listener = listener
+        gevent.spawn(self.forever, self.accept)
+
+    def accept(self) -> None:
+        """Runs in a greenlet of its own."""
+        while True:
+            sock, _ = self.listener.accept()
+            _, user, _ = struct.unpack("3i", sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12))
+            if user != os.getuid():
+                sock.close()
+                continue
+            gevent.spawn(self.attend, Link(sock))
+
+    def attend(self, link: Link) -> None:
+        try:
+            if self.process.relieved:
+                raise Odd("another process follows already")
+            until = time.monotonic() + MEET
+            while not any(kind == "hello" for kind, _ in link.hear(until - time.monotonic())):
+                pass
+            if self.link is not None:           # the one that came before never said that it serves
+                self.link.close()
+            self.link = link
+            passed = self.process.descriptor()
+            rights = [] if passed is None else [(socket.SOL_SOCKET, socket.SCM_RIGHTS,
+                                                 array.array("i", [passed]))]
+            link.sock.settimeout(MEET)
+            link.sock.sendmsg([b"+"], rights)
+            link.say("state", **self.process.state_of_things())
+            logger.info("a process that follows was told what this one knows")
+        except (OSError, Odd) as problem:
+            logger.warning("a process that follows is not spoken with: {}", problem or type(problem).__name__)
+            return self.drop(link)
+        self.follow(link)
+
+    # ---- both
+
+    def follow(self, link: Link) -> None:
+        """Until the other process is gone."""
+        talking = gevent.spawn(self.talk, link)
+        came, self.early = self.early, []
+        try:
+            while True:
+                for kind, told in came:
+                    self.process.heard_from_other(kind, told)
+                came = link.hear(None)
+        except OSError:
+            pass
+        except Odd as problem:
+            logger.warning("the link to the other process ends: {}", problem)
+        finally:
+            talking.kill()
+            self.drop(link)
+
+    def talk(self, link: Link) -> None:
+        while not link.over:
+            link.say("now", **self.process.goings_on())
+            gevent.sleep(TALK)
+
+    def drop(self, link: Link) -> None:
+        link.close()
+        if self.link is link:
+            self.link, self.follows = None, False
+            self.process.alone()
+            self.listen()
+
+    def tell(self, kind: str, **fields: Any) -> None:
+        if self.link is not None:
+            self.link.say(kind, **fields)
+
+    def start(self) -> None:
+        if self.link is not None:
+            gevent.spawn(self.follow, self.link)
+        self.listen()
--- a/opalwick/program/scheduler.py
+++ b/opalwick/program/scheduler.py
@@ -28,7 +28,9 @@
         self.out: dict[tuple[bytes, int], HandingOff] = {}
         self.bodies = self.open_count = 0       # bytes, work items: unanswered
         self.close_at = math.inf                # from then on connections end between requests
+        self.end_at = math.inf                  # and those that wait are ended
         self.turned = Event()                   # that has changed
+        self.accepting: Any = None
         # when the door itself defers: a second, in which a crowd passes, or as long as clients honour
         self.advice = come_back(min(1.0, c.terms.retry_after))
 
@@ -74,7 +76,7 @@
     def holds(self, id: bytes) -> bool:
         """Whether a work item with this id is open, at a worker if nowhere else: a second one must not get
         what the first is owed, nor be taken for it there."""
-        return id in self.reducer.items
+        return id in self.reducer.items or id in self.other_ids
 
     def take(self, call: Call, *fields: Any) -> None:
         self.open_count += 1
@@ -104,7 +106,7 @@
             socket.wait_read(listener.fileno())
             # at the brim one that waits makes room, and it is worth a moment where some may soon have been
             # silent for long enough; what is accepted must be answered, so at the very brim all wait outside
-            while (over := len(self.conversations) - self.limits.clients) >= 0 and not self.shed() and (
+            while (over := len(self.conversations) - self.most()) >= 0 and not self.shed() and (
                     over >= self.limits.spare or any(c.silent() for c in self.conversations)):
                 gevent.sleep(0.01)
             try:
@@ -120,7 +122,7 @@
 
     def admit(self, connection: Connection) -> None:
         conversation = Conversation(connection, self.limits, self.names, self,
-                                    len(self.conversations) >= self.limits.clients)
+                                    len(self.conversations) >= self.most())
         self.conversations[conversation] = None
         gevent.spawn(self.converse, conversation)
 
@@ -150,17 +152,32 @@
             self.conversations.pop(conversation, None)
 
     def moved(self) -> None:
+        """The door: from `close_at` on each answer ends its connection, so that nothing crosses a close; from
+        `end_at` on those that ask nothing more are ended.
+        """
         now, limits = time.monotonic(), self.limits
-        wait = {State.DRAINING: limits.drained, State.LEAVING: limits.closing}.get(self.state, math.inf)
-        self.close_at = now + wait if wait == math.inf else min(self.close_at, now + wait)
+        match self.state:
+            case State.SERVING:
+                self.close_at = self.end_at = math.inf
+            case State.DRAINING:
+                self.close_at = now + limits.drained
+                self.end_at = self.close_at + limits.ask
+            case State.LEAVING if self.relieved:
+                self.close_at, self.end_at = now, now + limits.ask
+            case State.LEAVING:
+                self.close_at = self.end_at = min(self.close_at, now + limits.closing)
+        if self.relieved:
+            self.accepting.kill(block=False)
+        elif self.accepting is None or self.accepting.dead:
+            self.accepting = gevent.spawn(self.forever, self.accept, self.listener)
         self.turned.set()
 
     def usher(self) -> None:
         """Ends connections between requests while it is closing; the others end after their answer."""
         while True:
             self.turned.clear()
-            if not self.closing:
-                self.turned.wait(min(60.0, self.close_at - time.monotonic()))
+            if (left := self.end_at - time.monotonic()) > 0:
+                self.turned.wait(min(60.0, left))
                 continue
             # what has just come may still say what it wants
             for conversation in [c for c in self.conversations
@@ -171,15 +188,28 @@
 
     def start(self) -> None:
         gevent.spawn(self.forever, self.usher)
-        self.accepting = gevent.spawn(self.forever, self.accept, self.listener)
 
     def open_items(self) -> int:
         return self.open_count
 
+    def open_ids(self) -> list[str]:
+        return [id.decode("latin-1") for id in self.reducer.items if isinstance(id, bytes)]
+
+    def most(self) -> int:
+        """Connections from clients, at this moment."""
+        return self.share(self.limits.clients)
+
+    def descriptors(self) -> int:
+        return len(self.conversations) + self.pool.open
+
+    def finished(self) -> bool:
+        return not self.conversations and not self.open_count
+
     def close(self) -> None:
-        gevent.sleep(self.close_at - time.monotonic())
+        gevent.sleep(max(0.0, self.close_at - time.monotonic()))
         self.accepting.kill()
-        self.empty(self.listener)
+        if self.configuration.inherited is None:
+            self.empty(self.listener)           # what waits there otherwise is left to the next process
         self.listener.close()
         # a request that has not come whole is not taken, so one that drips on may be left
         while self.conversations and time.monotonic() < self.reducer.leave_at + self.limits.linger:
--- a/opalwick/protocol/clients.py
+++ b/opalwick/protocol/clients.py
@@ -51,7 +51,7 @@
     def closing(self) -> bool:
         """Connections are closed as soon as nothing is owed on them."""
 
-    def ready(self) -> bool: ...
+    def lets_in(self) -> bool: ...
 
     def room_for(self, body: int) -> bool: ...
 
@@ -253,7 +253,7 @@
         self.last = self.full or not message.keep_alive
         call = self.owe(Call(message, self.last, self.changed))
         if ready:                               # which makes no usual client of those that ask so and stay
-            return call.answer(200 if self.scheduler.ready() else 503)
+            return call.answer(200 if self.scheduler.lets_in() else 503)
         self.asked += 1
         call.category = fields[0]
         if self.full or not self.scheduler.room_for(len(message.body)):
--- a/opalwick/protocol/discovery.py
+++ b/opalwick/protocol/discovery.py
@@ -4,7 +4,7 @@
 import json
 import time
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from opalwick.interface import ListForm, Phase
@@ -56,6 +56,17 @@
     return version, whole, found
 
 
+def listing(version: int, found: Iterable[tuple], names: Names, unix: float) -> dict[str, Any]:
+    """The inverse of `rows`."""
+    zones, kinds = ({i: name for name, i in given.items()} for given in (names.zones, names.kinds))
+    words = {phase: word for word, phase in _PHASES.items()}
+    return {"seq": version, "whole": True, "hosts": [
+        {"host": name, "dial": "%s:%d" % place, "site": zones[zone], "class": kinds[kind], "block": cell,
+         "health": words[phase], "share": share,
+         "born_ms": round((ready_at + unix) * 1000.0) if ready_at > LONG_AGO else 0}
+        for name, _, zone, kind, cell, phase, ready_at, place, share in found]}
+
+
 class Discovery:
     """Calls are made one after the other, by the greenlet that runs `watch`."""
 
--- a/opalwick/routing/reducer.py
+++ b/opalwick/routing/reducer.py
@@ -14,6 +14,7 @@
 from opalwick.interface import (Cancel, Category, Customer, Defer, HandOff, ListForm, Outcome, Phase,
                                 Subscribe, Sum, Tell, Terms, Wake, Worker, WorkItem, WriteOff)
 from opalwick.protocol.words import packed, short, unpacked
+from opalwick.routing import learned
 
 
 class Final(Enum):
@@ -109,6 +110,10 @@
         if name in self.workers:
             self.balancer.banned(self.workers[name], False)
 
+    def taught(self, told: Any) -> None:
+        """What the process before had learned; after its list."""
+        learned.imported(self.balancer, self.workers, told)
+
     def moved(self) -> None:
         """The list is to be had at another place."""
         self.balancer.moved()
@@ -182,6 +187,20 @@
     def woken(self) -> None:
         """The time has moved on, which is all there is to it."""
 
+    # ---- what another process is told
+
+    def rows(self) -> list[tuple]:
+        """All workers that were ever listed, as `listed` takes them."""
+        return [(name, w.id, w.zone, w.kind, w.cell, w.phase, w.ready_at, self.places[w], w.share)
+                for name, w in self.workers.items()]
+
+    def out(self) -> list[Hashable]:
+        """The workers left out by hand."""
+        return [name for name, w in self.workers.items() if w.out]
+
+    def learned(self) -> dict[str, Any]:
+        return learned.exported(self.balancer, self.workers)
+
     # ---- figures
 
     def gauges(self) -> dict[str, int]:
--- a/opalwick/transport/datagrams.py
+++ b/opalwick/transport/datagrams.py
@@ -13,9 +13,13 @@
 
 
 class Datagrams:
-    def __init__(self, listen: Address) -> None:
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        bind(self.sock, listen)
+    def __init__(self, listen: Address, passed: int | None = None) -> None:
+        """`passed`: the descriptor of a socket that another process bound there."""
+        if passed is None:
+            self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            bind(self.sock, listen)
+        else:
+            self.sock = socket.socket(fileno=passed)
         self.sock.settimeout(0.0)
 
     def send(self, to: Address, octets: bytes) -> None:
--- a/opalwick/transport/limits.py
+++ b/opalwick/transport/limits.py
@@ -42,6 +42,7 @@
     queued: float           # a call that does not wait may stand in discovery's queue so long
     call: float             # one call of an operator, from its start to its end
     drained: float          # after a drain begins new connections may come and kept ones stay so long
+    ask: float              # once answers end connections, those that wait have so long to ask once more
     closing: float          # after SIGTERM connections stay open and new ones are taken so long
     leave: float            # all is answered by then after SIGTERM
 
@@ -100,4 +101,6 @@
         call=2.0,
         # the front asks each 0.1 s and sends new ones for 0.2 s more; those may come late by a loop's delay
         drained=0.5,
+        # most clients ask again within it, and nothing of theirs crosses a close
+        ask=1.0,
         closing=min(leave, max(0.5, leave - 0.9)), leave=leave)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -208,7 +208,7 @@
         self.conversation = Conversation(Connection(there, kept.ring), kept, names, self, full)
         self.running = gevent.spawn(self.conversation.run)
 
-    def ready(self) -> bool:
+    def lets_in(self) -> bool:
         return not self.closing
 
     def room_for(self, body: int) -> bool:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -180,9 +180,10 @@
 
 
 def test_blanks_round_a_value_are_no_part_of_it_however_the_request_is_cut() -> None:
-    """Values that came in pieces, or before a fold of blanks, kept them: a third of such requests got a 4xx."""
-    head = (b"POST /look/7 HTTP/1.1\r\nHost: app.svc \r\nX-Correlation-Id: \t c1 \r\nX-Service-Class: look \r\n"
-            b"X-Time-Left-Ms: 480 \t\r\nX-Weight-Hint: 1000 \r\nTransfer-Encoding: chunked \r\n\r\n1\r\nx\r\n0\r\n\r\n")
+    """Values that came in pieces kept them: a third of such requests got a 4xx."""
+    head = (b"POST /look/7 HTTP/1.1\r\nHost: app.svc \r\nX-Correlation-Id: \t c1 \r\n"
+            b"X-Service-Class: look \r\nX-Time-Left-Ms: 480 \t\r\nX-Weight-Hint: 1000 \r\n"
+            b"Transfer-Encoding: chunked \r\n\r\n1\r\nx\r\n0\r\n\r\n")
     seen = []
     for cut in (1, 7, 40, len(head)):
         client = Client()
