--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -510,8 +510,7 @@
             return
         live = [ho for ho in wi.hand_offs if not ho.ended]
         if self.now >= wi.expiry_at - self.early - 1e-6:
-            yield from self.answer(wi)
-            return
+            return (yield from self.answer(wi))
         if not live:
             return self.todo.append(wi)
         for ho in live:
@@ -537,8 +536,7 @@
                 return
         # a quarter of its own time is its grace, for its place
         if all(self.gain(wi, ho.worker, best, 0.0) + 0.25 * wi.work / self.work < 0.0 for ho in live):
-            yield from self.answer(wi)
-            return
+            return (yield from self.answer(wi))
         self.at(self.now + 0.1 + 0.25 * abs(wi.due_at - self.now), wi)
 
     def answer(self, wi: WorkItem) -> Iterator[Decision]:
@@ -636,11 +634,13 @@
         found, best, t = [], 0.0, self.terms
         for w in self.bound(wi) or not wi.hand_offs and wi.looked or self.some():
             held = w.held
-            if not w.limit:
-                w.limit = 4.0 * w.slots         # a queue of a few times the slots; full answers cut it
+            w.limit = w.limit or 4.0 * w.slots  # a queue of a few times the slots; full answers cut it
             if self.avoids(w) or held >= w.limit or w.doubt and held or not self.may(wi, w):
                 continue
-            gain = self.gain(wi, w, self.prospect(wi, w), wi.slots)
+            gain = self.gain(wi, w, prospect := self.prospect(wi, w), wi.slots)
+            # put back cold it is never about as good as the best: the first light item that will do shows it
+            if w.owed and prospect > 0.5 and wi.work < self.work and wi.category.effect is Effect.RERUNNABLE:
+                return w
             gain -= t.price_cross if w.zone != t.zone else 0.0      # 5: what earns less does not cross
             if gain >= 0.0:
                 found.append((gain, w))
@@ -692,7 +692,7 @@
         wi.hand_offs.append(ho)
         wi.calls -= 1
         w.flights[ho] = self.active[w] = None
-        w.seen_at = -1.0
+        w.seen_at, w.owed = -1.0, False
         if self.young(w):
             w.sends.append((self.now, self.push(wi)))
         if not copy:                            # 4: looked at when it should have begun, with some patience
--- a/opalwick/interface.py
+++ b/opalwick/interface.py
@@ -143,6 +143,7 @@
     cell: int = 0
     phase: Phase = Phase.READY
     out: bool = False          # left out by an operator's hand, whatever the list says
+    owed: bool = False         # put back by hand, and nothing went there since
     ready_at: float = 0.0
     flights: dict[HandOff, None] = field(default_factory=dict)  # in the order sent
     lingering: list[HandOff] = field(default_factory=list)  # cancelled, perhaps still being worked on
@@ -185,7 +186,7 @@
 
     def renew(self, out: bool) -> None:
         """Left out or put back: what it did before says nothing of what it will do then."""
-        self.out = out
+        self.out, self.owed = out, not out
         self.doubt = self.turned = 0
         self.shun_until = self.rest_until = -1e9
         self.ran = self.asked = self.failed = self.tried = self.others = self.limit = 0.0
