--- a/opalwick/balance.py
+++ b/opalwick/balance.py
@@ -345,7 +345,7 @@
             return
         w.seen_at = now
         w.warm = self.warmth(w)
-        kind, mean, backlog, busy = self.kinds[w.kind], self.mean_run, 0.0, 0.0
+        kind, mean, backlog, busy = self.kinds[w.kind], self.mean_run, w.left_beside, w.busy_beside
         # what it has shown is forgotten over some ten seconds: one condemned by chance is tried again
         fade = math.exp((w.ran_at - now) / 10.0)
         ran, asked = w.ran * fade, w.asked * fade
@@ -475,7 +475,7 @@
             if self.now < z.tell_at:
                 continue
             rate = self.rate * math.exp((self.taken_at - self.now) / 5.0)
-            self.active = {w: None for w in self.active if w.flights or w.lingering}
+            self.active = {w: None for w in self.active if w.held or w.busy_beside}
             here = [w for w in self.active if w.zone == z.id]
             # half a point of price for each work item, at four bytes a row and sixteen for the rest; of other
             # zones a fifth as often, unless work is out there
--- a/opalwick/interface.py
+++ b/opalwick/interface.py
@@ -172,6 +172,8 @@
     seen_at: float = -1.0      # the moment the following hold for
     warm: float = 1.0          # the share of its capacity that it is sure to have
     pace: float = 1.0          # seconds it needs for a second of work
+    busy_beside: float = 0.0   # what another process of the same scheduler has there, as it says
+    left_beside: float = 0.0
     busy_own: float = 0.0      # slots taken or waited for by own work items
     left_own: float = 0.0      # seconds of slot time that those still have to run
     told_busy: float = 0.0     # the same of the other schedulers, as a keeper said
--- a/opalwick/program/core.py
+++ b/opalwick/program/core.py
@@ -17,7 +17,7 @@
 from opalwick.program.operators import Operators
 from opalwick.protocol import figures
 from opalwick.protocol.discovery import Discovery, listing, rows
-from opalwick.protocol.handover import count, names
+from opalwick.protocol.handover import count, names, pairs
 from opalwick.protocol.probes import probe
 from opalwick.routing.reducer import Datagram, Probe, Reducer, Timer, Watch
 from opalwick.transport.connection import Address, bind
@@ -183,7 +183,8 @@
 
     def goings_on(self) -> dict[str, Any]:
         """For the other process: what it must count with its own."""
-        return {"ids": self.open_ids(), "descriptors": self.descriptors()}
+        return {"ids": self.open_ids(), "descriptors": self.descriptors(),
+                "in_flight": self.reducer.in_flight()}
 
     def descriptor(self) -> int | None:
         return None if self.datagrams is None else self.datagrams.sock.fileno()
@@ -207,6 +208,7 @@
                 self.other_ids = {name.encode("latin-1", "replace") for name in names(told, "ids")}
                 self.lent = min(count(told, "descriptors"), self.limits.clients + self.limits.workers)
                 self.pool.most = self.share(self.limits.workers)
+                self.put("beside", pairs(told, "in_flight"))
             case "out":
                 for name in names({"who": [told.get("who")]}, "who"):
                     self.worker_out(name, told.get("out") is True, True)
@@ -226,6 +228,7 @@
 
     def alone(self) -> None:
         self.other_ids, self.lent, self.pool.most = set(), 0, self.limits.workers
+        self.put("beside", {})
         if self.relieved and not self.stop.is_set():
             logger.warning("the process that follows is gone; this one goes on")
             self.relieved = False
--- a/opalwick/protocol/handover.py
+++ b/opalwick/protocol/handover.py
@@ -66,6 +66,17 @@
     return int(number(told.get(key), 0, 1e9) or 0)
 
 
+def pairs(told: Mapping[str, Any], key: str) -> dict[Any, tuple[float, float]]:
+    """By id two numbers of nought or more; odd ones are left out."""
+    given, found = told.get(key), {}
+    for name, pair in given.items() if isinstance(given, dict) else ():
+        if isinstance(pair, list) and len(pair) == 2:
+            one, two = (number(value, 0.0, 1e6) for value in pair)
+            if one is not None and two is not None:
+                found[name] = (one, two)
+    return found
+
+
 def names(told: Mapping[str, Any], key: str) -> list[str]:
     """Ids; odd ones are left out."""
     given = told.get(key)
--- a/opalwick/routing/learned.py
+++ b/opalwick/routing/learned.py
@@ -18,7 +18,8 @@
 _CATEGORY = ("run", "ended", "allowance")
 _KIND = ("ran", "asked", "size", "reports")
 _WORKER = ("mean", "mean_at", "others", "others_at", "ran", "ran_at", "asked", "failed", "tried", "failed_at",
-           "limit", "sign_at", "doubt", "shun_until", "turned", "rest_until")
+           "limit", "sign_at", "doubt", "shun_until", "turned", "rest_until", "told_busy", "told_left")
+_ZONE = ("answered", "heard_at", "heard")
 
 
 def _told(thing: Any, fields: Sequence[str]) -> list[float]:
@@ -44,6 +45,7 @@
     return {"all": _told(balancer, _ALL),
             "categories": [_told(c, _CATEGORY) for c in balancer.terms.categories],
             "kinds": {str(i): _told(kind, _KIND) for i, kind in balancer.kinds.items()},
+            "zones": {str(i): _told(zone, _ZONE) for i, zone in balancer.zones.items()},
             "workers": {name: [_told(w, _WORKER), w.sends] for name, w in workers.items()}}
 
 
@@ -57,6 +59,8 @@
         _take(category, _CATEGORY, shown)
     for i, kind in balancer.kinds.items():
         _take(kind, _KIND, _entry(told, "kinds", str(i)))
+    for i, zone in balancer.zones.items():
+        _take(zone, _ZONE, _entry(told, "zones", str(i)))
     for name, w in workers.items():
         shown = _entry(told, "workers", name)
         if isinstance(shown, list) and len(shown) == 2 and isinstance(shown[1], list):
--- a/opalwick/routing/reducer.py
+++ b/opalwick/routing/reducer.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Hashable, Iterator, Sequence
+from collections.abc import Hashable, Iterator, Mapping, Sequence
 from enum import Enum
 from typing import Any, NamedTuple
 
@@ -110,6 +110,14 @@
         if name in self.workers:
             self.balancer.banned(self.workers[name], False)
 
+    def beside(self, told: Mapping[Hashable, tuple[float, float]]) -> None:
+        """All that another process of this scheduler has in flight: slots, seconds of slot time left."""
+        for name, w in self.workers.items():
+            w.busy_beside, w.left_beside = told.get(name, (0.0, 0.0))
+            w.seen_at = -1.0
+            if w.busy_beside:
+                self.balancer.active[w] = None  # words tell it too
+
     def taught(self, told: Any) -> None:
         """What the process before had learned; after its list."""
         learned.imported(self.balancer, self.workers, told)
@@ -198,6 +206,13 @@
         """The workers left out by hand."""
         return [name for name, w in self.workers.items() if w.out]
 
+    def in_flight(self) -> dict[Hashable, tuple[float, float]]:
+        """As `beside` takes it at the other process."""
+        for w in self.workers.values():
+            self.balancer.look(w)
+        return {name: (w.busy_own - w.busy_beside, w.left_own - w.left_beside)
+                for name, w in self.workers.items() if w.flights or w.lingering}
+
     def learned(self) -> dict[str, Any]:
         return learned.exported(self.balancer, self.workers)
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -25,7 +25,8 @@
 from opalwick.program.configuration import BadConfiguration, read
 from opalwick.program.core import State
 from opalwick.program.scheduler import Scheduler
-from opalwick.protocol.handover import LONGEST, Odd, Reader, packed
+from opalwick.protocol.handover import LONGEST, Odd, Reader, packed, pairs
+from opalwick.protocol.words import unpacked
 from opalwick.routing import learned
 
 CONFLICT = "HTTP/1.1 409 Conflict | Connection: close | a work item with this id is open"
@@ -99,6 +100,7 @@
     assert 16.0 < here.balancer.rate < 18.0
     # one scheduler: what is open in one is open
     assert (new.holds(b"c1"), new.holds(b"c2"), new.lent > 0) == (True, False, True)
+    assert here.workers["a"].busy_beside == 1.0 and there.workers["a"].busy_beside == 0.0
     assert (old.state, old.ready(), old.lets_in(), new.state) == (State.LEAVING, False, True, State.SERVING)
     assert new.datagrams.sock.getsockname() == old.datagrams.sock.getsockname()
     assert first(pair.ask(post())) == CONFLICT
@@ -113,6 +115,7 @@
     assert pair.old_running.successful()
     gevent.sleep(0.05)
     assert (new.other_ids, new.lent, new.pool.most) == (set(), 0, new.limits.workers)
+    assert here.workers["a"].busy_beside == 0.0
     third = pair.follow()                       # the next finds it at the same place
     assert (third.state, third.reducer.out()) == (State.SERVING, ["a"])
     pair.end()
@@ -263,6 +266,31 @@
         assert json.loads(json.dumps(here.reducer.learned())) == kept
 
 
+def test_what_the_other_process_has_in_flight_counts_as_own_and_is_told_on_once() -> None:
+    """The new one took those slots for free, and told the other schedulers so."""
+    desk = Desk("AB", **{"peers-total": 2, "position": 1})
+    desk.put("beside", {"A": (12.0, 6.0), "nobody": (1.0, 1.0)})
+    balancer, a = desk.reducer.balancer, desk.reducer.workers["A"]
+    balancer.look(a)
+    assert (a.busy_own, a.left_own, desk.reducer.in_flight()) == (12.0, 6.0, {})
+    desk.take("x")
+    assert desk.lines[-1].split(": ")[1].startswith("send x 0 B")
+    sent = {name: slots for name, (slots, _) in desk.reducer.in_flight().items()}
+    desk.now += 1.0
+    told = [effect.octets for effect in desk.put("woken") if hasattr(effect, "octets")]
+    word = unpacked(told[0], desk.reducer.shorts)
+    assert sent == {"B": 1.0}
+    assert {(chr(w.id), slots) for w, slots, _ in word[1][2]} == {("A", 12.0), ("B", 1.0)}
+    desk.put("beside", {})
+    assert (a.busy_beside, a.left_beside) == (0.0, 0.0)
+
+
+def test_odd_pairs_are_left_out() -> None:
+    odd = {"a": [1, 2], "b": [1], "c": "xx", "d": [-1, 2], "e": [True, 1], "f": [1, 1e9], "g": None}
+    assert pairs({"in_flight": odd}, "in_flight") == {"a": (1, 2)}
+    assert pairs({"in_flight": [1]}, "in_flight") == pairs({}, "in_flight") == {}
+
+
 def test_messages_come_whole_however_they_are_cut() -> None:
     data, reader, found = packed("now", ids=["a"]) + packed("serving"), Reader(), []
     for octet in data:
