--- a/tests/test_processor.py
+++ b/tests/test_processor.py
@@ -270,3 +270,19 @@
     assert not p.exchange.items and p.reducer.items["x"].answered
     p.end("a", "died")
     assert p.idle()
+
+
+def test_each_work_item_has_one_final_answer_in_the_figures() -> None:
+    p, finals = Proxies(workers="", most=2), []
+    p.exchange.final = lambda category, status: finals.append(status)
+    p.call("a", "a")
+    p.wait(0.8)  # no worker: deferred once, however often it is asked for
+    p.call("again", "a")
+    assert finals == [503]
+    p.list(ListForm.FULL, A=Phase.READY)
+    p.call("b", "b")
+    p.respond("b")
+    p.call("c", "c")
+    p.respond("c", 404)  # the client's own: a failure
+    p.call("late", "d", expiry=0.0)
+    assert finals == [503, 200, 400, 504]
