Reread: one listener, one reader of a whole message, the hand-over's messages one at a time

Written again by the change: Operators opened its listener as Core does (now transport.connection.listening), converse() read a message by the loop of http.received (which takes the kind of message now, and frees its parser), the meeting place was worked out a second time in the tests (handover.place), descriptors were passed by hand (send_fds, recv_fds of the library). Simpler: Link.hear gives one message, so what came along with a hello or a state needs no list of its own; a front that hands nothing over has a Handover without a place, and seven checks for none went; 'out' of the other process is looked up as it is. Work that need not be done: in_flight() looked at every worker ten times a second, now at those that hold something; the table of calls was built for each call. Dead: a final answer set a second time in Exchange.responds.

--- a/opalwick/processor/exchange.py
+++ b/opalwick/processor/exchange.py
@@ -218,10 +218,8 @@
         else:
             outcome = Outcome.TIMED_OUT if status == 504 else Outcome.ERROR
         self._end(call, outcome, blamed, reported.figures)
-        if blamed:
-            # the client's own: it hears so, and nobody else is asked
-            item.final = item.final or Final.FINISHED
-        elif item.final is None and not item.out and item.held is None:
+        # blamed on the client it is final: the client hears so, and nobody else is asked
+        if item.final is None and not item.out and item.held is None:
             # the module says now whether it would go on: the proxy calls again for a decided worker only
             self.core.put("asked", item.id)
         if item.final is Final.DEFERRED and not item.out:
--- a/opalwick/program/core.py
+++ b/opalwick/program/core.py
@@ -13,14 +13,14 @@
 
 from opalwick.interface import ListForm
 from opalwick.program.configuration import BadConfiguration, Configuration
-from opalwick.program.handover import Handover
+from opalwick.program.handover import Handover, place as meeting
 from opalwick.program.operators import Operators
 from opalwick.protocol import figures
 from opalwick.protocol.discovery import Discovery, listing, rows
 from opalwick.protocol.handover import count, names, pairs
 from opalwick.protocol.probes import probe
 from opalwick.routing.reducer import Datagram, Probe, Reducer, Timer, Watch
-from opalwick.transport.connection import Address, bind
+from opalwick.transport.connection import Address, listening
 from opalwick.transport.datagrams import Datagrams
 from opalwick.transport.pool import Pool
 
@@ -55,8 +55,8 @@
         self.wake_at, self.rearmed = now, Event()
         self.peers = {place: i for i, place in enumerate(c.peers)}
         self.datagrams: Datagrams | None = None
-        self.handover = Handover(c.directory, f"{c.name} {c.listen}", self, self.forever
-                                 ) if self.hands_over and c.directory and c.inherited is not None else None
+        path = meeting(c.directory, f"{c.name} {c.listen}") if c.directory and c.inherited is not None else ""
+        self.handover = Handover(path if self.hands_over else "", self, self.forever)
         self.relieved = False                   # by a process that follows
         self.other_ids: set[Any] = set()        # work items open in the other process
         self.lent = 0                           # descriptors that it holds
@@ -141,7 +141,7 @@
             logger.info("{} was {} and is {}", self.configuration.name, self.state.value, state.value)
             self.state = state
             self.moved()
-            if state is State.SERVING and self.handover is not None:
+            if state is State.SERVING:
                 self.handover.serving()
 
     def moved(self) -> None:
@@ -162,7 +162,7 @@
         """
         if self.state is not State.LEAVING:
             self.move(State.DRAINING if on else State.SERVING)
-        if self.handover is not None and not told:
+        if not told:
             self.handover.tell("drain", on=on)
         return on or self.lets_in()
 
@@ -172,7 +172,7 @@
             return False
         logger.info("worker {} is {} by hand", id, "left out" if out else "put back")
         self.put("disabled" if out else "enabled", id)
-        if self.handover is not None and not told:
+        if not told:
             self.handover.tell("out", who=id, out=out)
         return True
 
@@ -213,12 +213,12 @@
                 self.pool.most = self.share(self.limits.workers)
                 self.put("beside", pairs(told, "in_flight"))
             case "out":
-                for name in names({"who": [told.get("who")]}, "who"):
-                    self.worker_out(name, told.get("out") is True, True)
+                if isinstance(who := told.get("who"), str):
+                    self.worker_out(who, told.get("out") is True, True)
             case "drain":
                 self.drain(told.get("on") is True, True)
             case "serving":
-                if self.handover is not None and not self.handover.follows and not self.stop.is_set():
+                if not self.handover.follows and not self.stop.is_set():
                     self.relieved = True
                     self.move(State.LEAVING)
                     gevent.spawn(self.depart)
@@ -291,24 +291,17 @@
         """The listener at `place`; before the list is handed in, which may take a while."""
         if self.configuration.inherited is not None:
             self.listener = socket.socket(fileno=self.configuration.inherited)
-            self.place = self.listener.getsockname()
-            return
-        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        bind(self.listener, self.place)
+        else:
+            self.listener = listening(self.place, self.limits.backlog)
         self.place = self.listener.getsockname()
-        self.listener.listen(self.limits.backlog)
 
-    def listen_to_words(self) -> None:
+    def listen_to_words(self, place: Address) -> None:
         """Runs in a greenlet of its own. The place may still be held by a process that is about to end."""
-        c = self.configuration
         while self.datagrams is None:
-            assert c.peer_listen is not None
-            passed = None if self.handover is None else self.handover.passed
             try:
-                self.datagrams = Datagrams(c.peer_listen, passed)
+                self.datagrams = Datagrams(place, self.handover.passed)
             except OSError as problem:
-                logger.warning("no words from other schedulers: {}:{}: {}", *c.peer_listen, problem)
+                logger.warning("no words from other schedulers: {}:{}: {}", *place, problem)
                 gevent.sleep(1.0)
         self.datagrams.receive(self.heard)
 
@@ -328,28 +321,26 @@
         self.open()
         if self.operators is not None:
             gevent.spawn(self.forever, self.operators.accept)
-        state, told = State.SERVING, None if self.handover is None else self.handover.meet()
+        state, told = State.SERVING, self.handover.meet()
         if told is None:
             self.put("listed", ListForm.CACHED, self.known)
         else:
             state = self.take_over(told)
         for work in (self.keep_time, self.reread, self.sweep):
             gevent.spawn(self.forever, work)
-        if self.configuration.peer_listen and self.configuration.terms.may_tell:
-            gevent.spawn(self.forever, self.listen_to_words)
+        if (place := self.configuration.peer_listen) and self.configuration.terms.may_tell:
+            gevent.spawn(self.forever, self.listen_to_words, place)
         self.start()
         # without any list it could only send clients away
         while not (self.known or self.had_list.is_set() or self.stop.is_set()):
             self.had_list.wait(0.1)
         self.move(state)
-        if self.handover is not None:
-            self.handover.start()
+        self.handover.start()
         logger.info("{} serves on {}:{}", self.configuration.name, *self.place)
         self.stop.wait()
         logger.info("{} is to end; {} work items unanswered", self.configuration.name, self.open_items())
         self.move(State.LEAVING)
         self.put("closing", time.monotonic() + self.limits.leave)
         self.close()
-        if self.handover is not None:
-            self.handover.close()
+        self.handover.close()
         logger.info("{} ends", self.configuration.name)
--- a/opalwick/program/handover.py
+++ b/opalwick/program/handover.py
@@ -6,7 +6,7 @@
 """
 from __future__ import annotations
 
-import array
+import math
 import os
 import struct
 import time
@@ -52,6 +52,7 @@
 
     def __init__(self, sock: Any) -> None:
         self.sock, self.reader = sock, Reader()
+        self.heard: deque[tuple[str, dict[str, Any]]] = deque()     # come, and not yet taken in
         self.over = False
         self.unsaid: deque[bytes] = deque()
         self.some = Event()
@@ -78,14 +79,16 @@
         except OSError:                         # gone, or it does not read
             self.close()
 
-    def hear(self, within: float | None) -> list[tuple[str, dict[str, Any]]]:
-        """What has come; TimeoutError, Odd, or ConnectionError at the other's end."""
-        if within is not None and within <= 0:
-            raise TimeoutError
-        self.sock.settimeout(within)
-        if not (data := self.sock.recv(_READ)):
-            raise ConnectionError("the other process has ended the link")
-        return self.reader.feed(data)
+    def hear(self, until: float = math.inf) -> tuple[str, dict[str, Any]]:
+        """The next message; TimeoutError, Odd, or ConnectionError at the other's end."""
+        while not self.heard:
+            if (left := until - time.monotonic()) <= 0:
+                raise TimeoutError
+            self.sock.settimeout(None if left == math.inf else left)
+            if not (data := self.sock.recv(_READ)):
+                raise ConnectionError("the other process has ended the link")
+            self.heard.extend(self.reader.feed(data))
+        return self.heard.popleft()
 
     def close(self) -> None:
         if not self.over:
@@ -94,17 +97,18 @@
             self.sock.close()
 
 
+def place(directory: str, scheduler: str) -> str:
+    """Where the two meet; `scheduler` is what both are told alike."""
+    return os.path.join(directory, f"opalwick-{zlib.crc32(scheduler.encode()):08x}.sock")
+
+
 class Handover:
-    def __init__(self, directory: str, scheduler: str, process: Process,
-                 forever: Callable[..., None]) -> None:
-        """`scheduler`: what both processes are told alike."""
-        self.forever = forever
-        self.path = os.path.join(directory, f"opalwick-{zlib.crc32(scheduler.encode()):08x}.sock")
-        self.process = process
+    def __init__(self, path: str, process: Process, forever: Callable[..., None]) -> None:
+        """`path`: where the two meet; empty where nothing is handed over."""
+        self.path, self.process, self.forever = path, process, forever
         self.link: Link | None = None
         self.passed: int | None = None          # a descriptor that came over
         self.follows = False                    # the other process was here before
-        self.early: list[tuple[str, dict[str, Any]]] = []   # came along with its state
         self.listener: Any = None
         self.accepting: Any = None
 
@@ -112,6 +116,8 @@
 
     def meet(self) -> dict[str, Any] | None:
         """What the process before tells; none where there is none that does within the time."""
+        if not self.path:
+            return None
         until, sock = time.monotonic() + MEET, socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         link = Link(sock)
         try:
@@ -121,18 +127,16 @@
             link.say("hello")
             # its first byte carries the descriptor, if any
             sock.settimeout(max(0.0, until - time.monotonic()))
-            mark, extra, _, _ = sock.recvmsg(1, socket.CMSG_SPACE(struct.calcsize("i")))
-            for level, kind, data in extra:
-                if level == socket.SOL_SOCKET and kind == socket.SCM_RIGHTS and len(data) >= 4:
-                    self.passed = array.array("i", data[:4])[0]
+            mark, passed, _, _ = socket.recv_fds(sock, 1, 1)
+            self.passed = passed[0] if passed else None
             if mark != b"+":
                 raise Odd("it hands nothing over")
-            while True:
-                came = link.hear(until - time.monotonic())
-                if came and came[0][0] == "state":
-                    self.link, self.follows, self.early = link, True, came[1:]
-                    logger.info("the process before has told what it knows")
-                    return came[0][1]
+            kind, told = link.hear(until)
+            while kind != "state":
+                kind, told = link.hear(until)
+            self.link, self.follows = link, True
+            logger.info("the process before has told what it knows")
+            return told
         except (FileNotFoundError, ConnectionRefusedError):
             pass                                # none is there, or it left its file behind
         except (OSError, Odd) as problem:
@@ -154,7 +158,7 @@
         """For the process that follows; what a former one left there is replaced whole. One that follows
         leaves the place to the other until it is alone: should it end first, the other is still found there.
         """
-        if self.listener is not None or self.link is not None:
+        if not self.path or self.listener is not None or self.link is not None:
             return
         listener, beside = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM), f"{self.path}.{os.getpid()}"
         try:
@@ -192,38 +196,31 @@
         try:
             if self.process.relieved:
                 raise Odd("another process follows already")
-            came: list[tuple[str, dict[str, Any]]] = []
-            until = time.monotonic() + MEET
-            while not came:
-                came = link.hear(until - time.monotonic())
-            if came[0][0] != "hello":
-                raise Odd(f"it begins with {came[0][0][:40]!r}")
+            kind, _ = link.hear(time.monotonic() + MEET)
+            if kind != "hello":
+                raise Odd(f"it begins with {kind[:40]!r}")
             if self.link is not None:           # the one that came before never said that it serves
                 self.link.close()
             self.link = link
             passed = self.process.descriptor()
-            rights = [] if passed is None else [(socket.SOL_SOCKET, socket.SCM_RIGHTS,
-                                                 array.array("i", [passed]))]
             link.sock.settimeout(MEET)
-            link.sock.sendmsg([b"+"], rights)
+            socket.send_fds(link.sock, [b"+"], [] if passed is None else [passed])
             gevent.spawn(link.write)
             link.say("state", **self.process.state_of_things())
             logger.info("a process that follows was told what this one knows")
         except (OSError, Odd) as problem:
             logger.warning("a process that follows is not spoken with: {}", problem or type(problem).__name__)
             return self.drop(link)
-        self.follow(link, came[1:])
+        self.follow(link)
 
     # ---- both
 
-    def follow(self, link: Link, came: list[tuple[str, dict[str, Any]]]) -> None:
-        """Until the other process is gone; `came` is what it has said already."""
+    def follow(self, link: Link) -> None:
+        """Until the other process is gone."""
         talking = gevent.spawn(self.talk, link)
         try:
             while True:
-                for kind, told in came:
-                    self.process.heard_from_other(kind, told)
-                came = link.hear(None)
+                self.process.heard_from_other(*link.hear())
         except OSError:
             pass
         except Odd as problem:
@@ -250,5 +247,5 @@
 
     def start(self) -> None:
         if self.link is not None:
-            gevent.spawn(self.follow, self.link, self.early)
+            gevent.spawn(self.follow, self.link)
         self.listen()
--- a/opalwick/program/operators.py
+++ b/opalwick/program/operators.py
@@ -13,33 +13,24 @@
 from loguru import logger
 
 from opalwick.protocol.operators import Serves, converse
-from opalwick.transport.connection import Address, Connection, bind
+from opalwick.transport.connection import Address, Connection, listening
 from opalwick.transport.limits import Limits
 
 
 class Operators:
     def __init__(self, place: Address, limits: Limits, serves: Serves) -> None:
-        self.limits, self.serves = limits, serves
-        self.listener: Any
-        self.place: Address
+        self.limits, self.serves, self.place = limits, serves, place
+        self.listener: Any = None
         self.calls: dict[Connection, None] = {}     # in the order accepted
-        self.place, self.listener = place, None
-
-    def open(self) -> None:
-        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        bind(self.listener, self.place)
-        self.place = self.listener.getsockname()
-        self.listener.listen(self.limits.backlog)
-        logger.info("operators call {}:{}", *self.place)
 
     def accept(self) -> None:
         """Runs in a greenlet of its own. Clients are served where the place cannot be had, too."""
         while self.listener is None:
             try:
-                self.open()
+                self.listener = listening(self.place, self.limits.backlog)
+                self.place = self.listener.getsockname()
+                logger.info("operators call {}:{}", *self.place)
             except OSError as problem:
-                self.listener = None
                 logger.error("operators cannot call {}:{}: {}", *self.place, problem)
                 gevent.sleep(1.0)
         while True:
--- a/opalwick/protocol/http.py
+++ b/opalwick/protocol/http.py
@@ -149,12 +149,16 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
 
 
-def received(connection: Connection, limits: Limits, until: float, most: int = 0) -> Message:
-    """The next response, once it is whole; ConnectionError where the other side ends before."""
+def received(connection: Connection, limits: Limits, until: float, most: int = 0,
+             kind: Any = httptools.HttpResponseParser, expects: Callable[[], None] | None = None) -> Message:
+    """The next message of this kind, once it is whole; ConnectionError where the other side ends before."""
     done: list[Message] = []
-    parser = Parser(httptools.HttpResponseParser, limits, done.append, most=most)
-    while not done:
-        if not (came := connection.read(until - time.monotonic())):
-            raise ConnectionError("the other side ended the connection")
-        parser.feed(came)
+    parser = Parser(kind, limits, done.append, expects, most)
+    try:
+        while not done:
+            if not (came := connection.read(until - time.monotonic())):
+                raise ConnectionError("the other side ended the connection")
+            parser.feed(came)
+    finally:
+        parser.close()
     return done[0]
--- a/opalwick/protocol/operators.py
+++ b/opalwick/protocol/operators.py
@@ -8,12 +8,14 @@
 
 import httptools
 
-from opalwick.protocol.http import Malformed, Message, Parser, response
+from opalwick.protocol.http import Malformed, Message, received, response
 from opalwick.transport.connection import Connection
 from opalwick.transport.limits import Limits
 
 _BAD_ESCAPE = re.compile(rb"%(?![0-9A-Fa-f]{2})")
 _LONGEST_ID = 255
+_METHODS = {b"/ready": b"GET", b"/metrics": b"GET", b"/workers/disable": b"PUT", b"/workers/enable": b"PUT",
+            b"/drain": b"PUT", b"/undrain": b"PUT"}
 
 
 class Serves(Protocol):
@@ -49,9 +51,7 @@
 def answer(message: Message, serves: Serves) -> bytes:
     """Carries out a call and words the answer."""
     path, _, query = message.target.partition(b"?")
-    calls = {b"/ready": b"GET", b"/metrics": b"GET", b"/workers/disable": b"PUT",
-             b"/workers/enable": b"PUT", b"/drain": b"PUT", b"/undrain": b"PUT"}
-    method = calls.get(path)
+    method = _METHODS.get(path)
     status, told, fields = 200, b"yes\n", ["Content-Type: text/plain"]
     try:
         if method is None:
@@ -76,18 +76,13 @@
 
 def converse(connection: Connection, limits: Limits, serves: Serves, until: float) -> None:
     """One call from its first byte to its answer; OSError where it ends otherwise."""
-    whole: list[Message] = []
-    parser = Parser(httptools.HttpRequestParser, limits, whole.append,
-                    lambda: connection.write(response(100, b"", False), until - time.monotonic()))
+    def go_on() -> None:
+        connection.write(response(100, b"", False), until - time.monotonic())
+
     try:
-        while not whole:
-            if not (came := connection.read(until - time.monotonic())):
-                return
-            parser.feed(came, time.monotonic())
-        said = answer(whole[0], serves)
+        said = answer(received(connection, limits, until, 0, httptools.HttpRequestParser, go_on), serves)
     except Malformed as problem:
         said = response(problem.status, problem.text.encode() + b"\n", True)
-    parser.close()
     connection.write(said, until - time.monotonic())
     connection.shut()
     # what still comes is read, as closing on it would reset the connection and take the answer along
--- a/opalwick/routing/reducer.py
+++ b/opalwick/routing/reducer.py
@@ -208,10 +208,10 @@
 
     def in_flight(self) -> dict[Hashable, tuple[float, float]]:
         """As `beside` takes it at the other process."""
-        for w in self.workers.values():
+        held = {name: w for name, w in self.workers.items() if w.held}
+        for w in held.values():
             self.balancer.look(w)
-        return {name: (w.busy_own - w.busy_beside, w.left_own - w.left_beside)
-                for name, w in self.workers.items() if w.flights or w.lingering}
+        return {name: (w.busy_own - w.busy_beside, w.left_own - w.left_beside) for name, w in held.items()}
 
     def learned(self) -> dict[str, Any]:
         return learned.exported(self.balancer, self.workers)
--- a/opalwick/transport/connection.py
+++ b/opalwick/transport/connection.py
@@ -103,6 +103,14 @@
         gevent.sleep(0.02)
 
 
+def listening(place: Address, backlog: int) -> Any:
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bind(listener, place)
+    listener.listen(backlog)
+    return listener
+
+
 def opened(room: int) -> Connection:
     """Not yet connected."""
     return Connection(socket.socket(socket.AF_INET, socket.SOCK_STREAM), room)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -9,8 +9,8 @@
 import subprocess
 import sys
 import time
-import zlib
 from dataclasses import replace
+from pathlib import Path
 
 import gevent
 import gevent.socket
@@ -24,6 +24,7 @@
 from opalwick.interface import ListForm, Phase
 from opalwick.program.configuration import BadConfiguration, read
 from opalwick.program.core import State
+from opalwick.program.handover import place as meeting
 from opalwick.program.scheduler import Scheduler
 from opalwick.protocol.handover import LONGEST, Odd, Reader, packed, pairs
 from opalwick.protocol.words import unpacked
@@ -184,6 +185,11 @@
     pair.end()
 
 
+def _path(tmp_path) -> str:
+    """Where a scheduler of that name and address meets the one before."""
+    return meeting(str(tmp_path), f"n0 {('127.0.0.1', 1)}")
+
+
 def _stand_in_for_the_old_one(path: str, *said: bytes) -> object:
     listener = gevent.socket.socket(gevent.socket.AF_UNIX)
     listener.bind(path)
@@ -211,7 +217,7 @@
     ((b"+", packed("state", list=None, out=["a", 5, "", "x" * 999], ids=[1, "c1"],
                    learned={"all": "x", "kinds": 3, "workers": {"a": [[1], 2]}})), ["a"], ["a"])])
 def test_a_new_one_is_whole_whatever_the_old_one_says(tmp_path, said, workers, out) -> None:
-    _stand_in_for_the_old_one(str(tmp_path / _name("n0", "127.0.0.1:1")), *said)
+    _stand_in_for_the_old_one(_path(tmp_path), *said)
     pair = Pair(tmp_path, DONE, listen="127.0.0.1:1")
     found = pair.scheduler.reducer
     assert (sorted(found.workers), found.out()) == (workers, out)
@@ -219,14 +225,9 @@
     pair.end()
 
 
-def _name(name: str, listen: str) -> str:
-    host, port = listen.split(":")
-    return f"opalwick-{zlib.crc32(f'{name} {(host, int(port))}'.encode()):08x}.sock"
-
-
 def test_a_silent_old_one_is_not_waited_for(tmp_path) -> None:
     listener = gevent.socket.socket(gevent.socket.AF_UNIX)
-    listener.bind(str(tmp_path / _name("n0", "127.0.0.1:1")))
+    listener.bind(_path(tmp_path))
     listener.listen(1)
     pair = Pair(tmp_path, DONE, listen="127.0.0.1:1")
     assert pair.call("GET /ready") == "503 no"  # starting
@@ -237,7 +238,7 @@
 
 @pytest.mark.parametrize("left", ["file", "socket", "folder"])
 def test_what_lies_at_the_place_harms_nobody(tmp_path, left) -> None:
-    place = tmp_path / _name("n0", "127.0.0.1:1")
+    place = Path(_path(tmp_path))
     if left == "file":
         place.write_bytes(b"\x00damaged")
     elif left == "socket":
