--- a/opalwick/program/core.py
+++ b/opalwick/program/core.py
@@ -37,6 +37,7 @@
     """A front is a subclass: it feeds `put` with what is asked for, and carries out Send, Close and
     Answer.
     """
+    hands_over = False      # whether a front can leave its door to another process
 
     def __init__(self, configuration: Configuration, stop: Event, again: Event,
                  read: Callable[[], Configuration]) -> None:
@@ -55,7 +56,7 @@
         self.peers = {place: i for i, place in enumerate(c.peers)}
         self.datagrams: Datagrams | None = None
         self.handover = Handover(c.directory, f"{c.name} {c.listen}", self, self.forever
-                                 ) if c.directory and c.inherited is not None else None
+                                 ) if self.hands_over and c.directory and c.inherited is not None else None
         self.relieved = False                   # by a process that follows
         self.other_ids: set[Any] = set()        # work items open in the other process
         self.lent = 0                           # descriptors that it holds
@@ -66,7 +67,7 @@
             version, known = 0, []
         self.discovery = Discovery(c.discovery, version, c.names, unix, c.limits, self.listed)
         self.watched: bool | None = None        # whether the last call to discovery was answered
-        self.known = known
+        self.known, self.had_list = known, Event()
         self.place: Address = c.listen          # as bound, once it is
 
     # ---- reducer and effects; none of this waits, so one input is done before the next
@@ -118,6 +119,8 @@
 
     def listed(self, form: ListForm, found: list[tuple]) -> None:
         watched = form is not ListForm.FAILED
+        if watched:
+            self.had_list.set()
         if watched != self.watched:
             self.watched = watched
             if watched:
@@ -325,7 +328,6 @@
         self.open()
         if self.operators is not None:
             gevent.spawn(self.forever, self.operators.accept)
-            logger.info("operators call {}:{}", *self.operators.place)
         state, told = State.SERVING, None if self.handover is None else self.handover.meet()
         if told is None:
             self.put("listed", ListForm.CACHED, self.known)
@@ -336,6 +338,9 @@
         if self.configuration.peer_listen and self.configuration.terms.may_tell:
             gevent.spawn(self.forever, self.listen_to_words)
         self.start()
+        # without any list it could only send clients away
+        while not (self.known or self.had_list.is_set() or self.stop.is_set()):
+            self.had_list.wait(0.1)
         self.move(state)
         if self.handover is not None:
             self.handover.start()
--- a/opalwick/program/handover.py
+++ b/opalwick/program/handover.py
@@ -1,7 +1,8 @@
 """A new version under load: the process that follows meets the one before on a Unix socket.
 
-Neither waits for the other without a limit, and without the other each is a whole scheduler. One greenlet
-reads the link; what is said goes into a buffer of the kernel's, and a side that doesn't read loses the link.
+Neither waits for the other without a limit, and without the other each is a whole scheduler. Of a link one
+greenlet reads and one writes; to say something is to leave it to the latter, and a side that does not read
+loses the link.
 """
 from __future__ import annotations
 
@@ -10,17 +11,21 @@
 import struct
 import time
 import zlib
+from collections import deque
 from collections.abc import Callable
 from typing import Any, Protocol
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 from loguru import logger
 
 from opalwick.protocol.handover import Odd, Reader, packed
 
 MEET = 1.5      # seconds for all that the old one tells: a new one has six, and must be up by itself in time
 TALK = 0.1      # seconds between words of what is going on: a tenth of what clients wait for most work
+UNSAID = 256    # messages: half a minute of words to one that does not read
+WRITE = 2.0     # seconds until one that does not read is given up
 _READ = 65536
 
 
@@ -48,14 +53,30 @@
     def __init__(self, sock: Any) -> None:
         self.sock, self.reader = sock, Reader()
         self.over = False
+        self.unsaid: deque[bytes] = deque()
+        self.some = Event()
 
     def say(self, kind: str, **fields: Any) -> None:
-        if not self.over:
-            try:
-                self.sock.settimeout(1.0)
-                self.sock.sendall(packed(kind, **fields))
-            except OSError:
-                self.close()
+        """Waits for nobody."""
+        if len(self.unsaid) >= UNSAID:
+            return self.close()
+        self.unsaid.append(packed(kind, **fields))
+        self.some.set()
+
+    def write(self) -> None:
+        """Runs in a greenlet of its own."""
+        try:
+            while not self.over:
+                while self.unsaid:
+                    # not by sendall, whose time-out is the reader's as well
+                    rest = memoryview(self.unsaid.popleft())
+                    while rest:
+                        socket.wait_write(self.sock.fileno(), WRITE)
+                        rest = rest[self.sock.send(rest, socket.MSG_DONTWAIT):]
+                self.some.clear()
+                self.some.wait()
+        except OSError:                         # gone, or it does not read
+            self.close()
 
     def hear(self, within: float | None) -> list[tuple[str, dict[str, Any]]]:
         """What has come; TimeoutError, Odd, or ConnectionError at the other's end."""
@@ -69,6 +90,7 @@
     def close(self) -> None:
         if not self.over:
             self.over = True
+            self.some.set()
             self.sock.close()
 
 
@@ -95,6 +117,7 @@
         try:
             sock.settimeout(MEET)
             sock.connect(self.path)
+            gevent.spawn(link.write)
             link.say("hello")
             # its first byte carries the descriptor, if any
             sock.settimeout(max(0.0, until - time.monotonic()))
@@ -183,6 +206,7 @@
                                                  array.array("i", [passed]))]
             link.sock.settimeout(MEET)
             link.sock.sendmsg([b"+"], rights)
+            gevent.spawn(link.write)
             link.say("state", **self.process.state_of_things())
             logger.info("a process that follows was told what this one knows")
         except (OSError, Odd) as problem:
--- a/opalwick/program/scheduler.py
+++ b/opalwick/program/scheduler.py
@@ -19,6 +19,8 @@
 
 
 class Scheduler(Core):
+    hands_over = True
+
     def __init__(self, configuration: Configuration, stop: Event, again: Event,
                  read: Callable[[], Configuration]) -> None:
         super().__init__(configuration, stop, again, read)
@@ -168,7 +170,7 @@
                 self.close_at = self.end_at = min(self.close_at, now + limits.closing)
         if self.relieved:
             self.accepting.kill(block=False)
-        elif self.accepting is None or self.accepting.dead:
+        elif self.accepting.dead:
             self.accepting = gevent.spawn(self.forever, self.accept, self.listener)
         self.turned.set()
 
@@ -188,6 +190,7 @@
 
     def start(self) -> None:
         gevent.spawn(self.forever, self.usher)
+        self.accepting = gevent.spawn(self.forever, self.accept, self.listener)
 
     def open_items(self) -> int:
         return self.open_count
