--- a/opalwick/lab/faults.py
+++ b/opalwick/lab/faults.py
@@ -108,6 +108,16 @@
     return _set(world, fault, draw, "lying")
 
 
+@fault
+def untrue_reports(world: World, fault: Fault, draw: random.Random) -> Steps:
+    hit = _workers(world, fault, draw)
+    for w in hit:
+        w.tells = fault.size  # of what it holds
+    yield
+    for w in hit:
+        w.tells = 1.0
+
+
 @fault
 def throttle(world: World, fault: Fault, draw: random.Random) -> Steps:
     return _set(world, fault, draw, "rate")
@@ -246,6 +256,18 @@
     yield from _cut(world, fault, draw, world.links.refused)
 
 
+@fault
+def one_sided(world: World, fault: Fault, draw: random.Random) -> Steps:
+    yield from _cut(world, fault, draw, world.links.mute)
+
+
+@fault
+def lossy_ways(world: World, fault: Fault, draw: random.Random) -> Steps:
+    world.lossy += _size(fault)
+    yield
+    world.lossy -= _size(fault)
+
+
 @fault
 def half_resets(world: World, fault: Fault, draw: random.Random) -> Steps:
     hit = _links(world, fault, draw)
--- a/opalwick/lab/fleet/faults.py
+++ b/opalwick/lab/fleet/faults.py
@@ -59,8 +59,15 @@
     def note(self, what: str, *fields: Any) -> None:
         self.rows.note(self.world.agenda.now, what, *fields)
 
-    def begin(self, clock: str) -> None:
+    def begin(self, clock: str, told: Callable[[float], None] = lambda _: None) -> None:
+        """`told`: called now and then with the seconds of the day that are over."""
         agenda = self.world.agenda
+
+        def progress() -> None:
+            told(agenda.now)
+            agenda.after(5.0, progress)
+
+        agenda.after(5.0, progress)
         self.world.clients.begin()
         for i, fault in enumerate(self.day.faults):
             if clock not in KINDS[fault.kind].clocks:
--- a/opalwick/lab/kinds.py
+++ b/opalwick/lab/kinds.py
@@ -37,6 +37,11 @@
         2.0,
         (1.0, 4.0),
     ),
+    "untrue_reports": Kind(
+        "load reports are untrue: workers tell a share SIZE of what they hold, and the rest of their slots free",
+        0.0,
+        (0.0, 0.5),
+    ),
     "throttle": Kind(
         "workers take SIZE requests a second, and turn the others away",
         4.0,
@@ -117,6 +122,16 @@
         0.2,
         (0.02, 0.6),
     ),
+    "one_sided": Kind(
+        "links are one-sided: requests come through, and nothing that the worker says comes back",
+        1.0,
+        (1.0, 1.0),
+    ),
+    "lossy_ways": Kind(
+        "ways between zones lose a share SIZE of what they carry: connections say it again later, words are gone",
+        0.1,
+        (0.02, 0.4),
+    ),
     "slow_links": Kind(
         "links are SIZE seconds slower, each way",
         0.05,
--- a/opalwick/lab/scheduler.py
+++ b/opalwick/lab/scheduler.py
@@ -269,10 +269,11 @@
             kept = hand.rested < self.idle_time.now
         if not worker.alive or link in links.refused:
             kept = False  # it was reset as the process or the link went
-            if link not in links.silent:
+            if link not in links.silent and link not in links.mute:
                 self.after(2.0 * way, self.end, hand, Outcome.NO_CONNECTION)
                 return self._swallow(key, name, 2.0 * way)
-        if link in links.silent:
+        if link in links.silent or link in links.mute and not kept:
+            # a handshake needs both ways
             if not kept:
                 self.timer(network.connect, self.end, hand, Outcome.NO_CONNECTION)
             return self._swallow(key, name, give_up_after if kept else network.connect)
@@ -320,7 +321,8 @@
         want, kind = attempt.want, self.stage.day.categories[attempt.want.category]
 
         def tell(what: str, *fields: Any) -> None:
-            if (self.i, worker.name) in self.world.links.silent:
+            links, link = self.world.links, (self.i, worker.name)
+            if link in links.silent or link in links.mute:
                 return self._swallow(hand.key, worker.name, 1e3)
             self.after(self._way(worker), self.told, hand, what, *fields)
 
--- a/opalwick/lab/sockets/relays.py
+++ b/opalwick/lab/sockets/relays.py
@@ -22,6 +22,7 @@
         self.delay = 0.0  # seconds, each way
         self.rate = 0.0  # bytes a second, each way; 0: any
         self.silent = False  # swallows all, ends nothing, takes connections without an answer
+        self.mute = False  # swallows what comes back from the target
         self.refuse = False  # takes no connection
         self.stall_at = -1  # bytes toward the target after which a connection stalls; -1: never
         self.reset_at = -1  # after which it is reset, both sides
@@ -75,6 +76,10 @@
             gevent.spawn(self.connect, here)
 
     def connect(self, here: Any) -> None:
+        if self.way.mute:  # a handshake needs both ways, and loopback's has been done already
+            link = Link(here, None)
+            link.dead = True
+            return self.carry(link, here, None, True)
         if self.way.delay:
             gevent.sleep(self.way.delay)
         there = socket.socket(plain.AF_INET, plain.SOCK_STREAM)
@@ -97,7 +102,8 @@
             while data := one.recv(16384):
                 # bytes that are gone leave a gap, so nothing may come through after them
                 link.dead = link.dead or way.silent
-                if link.dead:
+                link.mute = link.mute or way.mute
+                if link.dead or link.mute and not toward:
                     self.swallow(data)
                     continue
                 if way.delay:
@@ -152,7 +158,7 @@
 
     def __init__(self, here: Any, there: Any) -> None:
         self.here, self.there = here, there
-        self.dead = False
+        self.dead = self.mute = False
         self.ended = 0  # directions
 
 
--- a/opalwick/lab/world/worker.py
+++ b/opalwick/lab/world/worker.py
@@ -100,6 +100,7 @@
         self.slow = 1.0  # times slower than usual
         self.stopped = 0  # how many troubles hold it still
         self.lying = 0.0  # by how much its reports are wrong
+        self.tells = 1.0  # the share of what it holds that its reports tell
         self.report_late = 0.0  # seconds, beyond the usual
         self.resets = 0.0  # share of what arrives on which it resets
         self.rate = 0.0  # takes so many a second at most; 0: any
@@ -149,7 +150,8 @@
                 x = self.lying * self.draw.random() * self.model.slots
             return round(max(0.0, x * (1.0 + self.day.reports.noise * (2.0 * self.draw.random() - 1.0))), 3)
 
-        return {"x0": noisy(max(0.0, self.model.slots - running)), "active": noisy(running + waiting)}
+        running_told, told = self.tells * running, self.tells * (running + waiting)
+        return {"x0": noisy(max(0.0, self.model.slots - running_told)), "active": noisy(told)}
 
     def _sample(self) -> None:
         # sampled when something changes, once a period at most: between changes it would be the same
--- a/opalwick/lab/world/world.py
+++ b/opalwick/lab/world/world.py
@@ -16,6 +16,10 @@
 from opalwick.lab.world.worker import Marks, Worker
 
 
+AGAIN = 0.2  # seconds after which a connection says again what was lost, doubled each time: Linux' least
+LOST_MOST = 3.0 * AGAIN  # by two in a row; a third one, at usual shares one in some hundred, is passed over
+
+
 class Processes(Protocol):
     """What a fault may do to schedulers; each by its number."""
 
@@ -41,6 +45,7 @@
     def __init__(self) -> None:
         self.silent: dict[tuple[int, str], int] = {}
         self.refused: dict[tuple[int, str], int] = {}
+        self.mute: dict[tuple[int, str], int] = {}  # requests come through, answers do not
         self.resets: dict[tuple[int, str], float] = {}  # share of requests cut half-way
         self.delay: dict[tuple[int, str], float] = {}  # seconds more, one way
         self.loss = self.doubled = 0.0  # shares of words
@@ -71,6 +76,7 @@
         self.clients = Clients(day, self.agenda, self.ledger, self.draws, self.names)
         self.clients.most = day.load.most or float("inf")
         self.processes: Processes | None = None
+        self.lossy = 0.0  # share of what is lost on ways between zones
         self.clock_off = [0.0] * day.schedulers  # by scheduler: its wall clock against the workers'
         self.clock_rate = [1.0] * day.schedulers  # on the virtual clock: how fast its own runs
         self.hand_offs = 0
@@ -157,11 +163,19 @@
     def way(self, one: int, other: int, draw: random.Random) -> float:
         """Seconds one way between two zones."""
         mean = self.day.network.same if one == other else self.day.network.cross
-        return mean * (1.0 + self.day.network.jitter * draw.random())
+        way = mean * (1.0 + self.day.network.jitter * draw.random())
+        if self.lossy and one != other:
+            again = AGAIN
+            while draw.random() < self.lossy and again < LOST_MOST:
+                way, again = way + again, 2.0 * again
+        return way
 
     def word(self, one: int, other: int, octets: bytes, draw: random.Random) -> Copies:
         """What becomes of a word between two schedulers."""
         fate = self.links.fate(one, other, draw, self.day.network.loss)
+        zones = len(self.day.zones)
+        if self.lossy and one % zones != other % zones and draw.random() < self.lossy:
+            return []
         if not self.ways.spells:
             return [(late, octets) for late in fate]
         now = self.agenda.now
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -3,20 +3,26 @@
 from __future__ import annotations
 
 import multiprocessing
+import signal
+import subprocess
+import sys
+import time
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
+import msgspec
 import pytest
 from fleet_members import PLANTED, SOUND
 from typer.testing import CliRunner
 
+from opalwick.checked import Seconds
 from opalwick.commands import app
 from opalwick.lab.day import BadDay, write
 from opalwick.lab.fleet.agents import Standing
 from opalwick.lab.fleet.day import FleetDay, built_in, parse, read
 from opalwick.lab.fleet.judge import judge
 from opalwick.lab.fleet.kinds import KINDS
-from opalwick.lab.fleet.run import drawn, failures, reported, shrink
+from opalwick.lab.fleet.run import drawn, failures, hunt, reported, shrink
 from opalwick.lab.fleet.sockets import play as play_sockets
 from opalwick.lab.fleet.virtual import play
 from opalwick.lab.ledger import pack
@@ -172,6 +178,41 @@
     assert code == 2 and "members: 40 on sockets need about" in said
 
 
+@pytest.mark.parametrize("how", [signal.SIGKILL, signal.SIGINT], ids=["killed", "Ctrl-C"])
+def test_nothing_is_left_behind_by_a_lab_that_ends_early(how: signal.Signals, tmp_path: Path) -> None:
+    file = tmp_path / "day.toml"
+    file.write_text(FLEET.format(faults=FAULTS["calm"]).replace("members = 5", "members = 3"))
+    words = ["lab", "fleet", str(file), "--clock", "sockets", "--out", str(tmp_path / "out")]
+    lab = subprocess.Popen([sys.executable, "-m", "opalwick", *words], cwd=Path(__file__).parents[1])
+
+    def children() -> list[int]:
+        found = []
+        for stat in Path("/proc").glob("[0-9]*/cmdline"):
+            try:
+                if str(tmp_path).encode() in (stat.parent / "environ").read_bytes():
+                    found.append(int(stat.parent.name))
+            except OSError:
+                continue
+        return found
+
+    until = time.monotonic() + 20.0
+    while len(children()) < 3 and time.monotonic() < until:
+        time.sleep(0.1)
+    assert len(children()) >= 3
+    lab.send_signal(how)
+    lab.wait(10.0)
+    while children() and time.monotonic() < until + 5.0:
+        time.sleep(0.05)
+    assert children() == []
+
+
+def test_fifty_drawn_days_break_nothing() -> None:
+    small = parse(FLEET.format(faults="").replace("rate = 0.001, most = 0", "rate = 20.0"), "small")
+    small = msgspec.structs.replace(small, length=Seconds(10.0), members=6)
+    found = list(hunt(small, 1, 50))
+    assert len(found) == 50 and [one for one in found if one["broken"]] == []
+
+
 def test_every_kind_of_fault_is_played() -> None:
     lines = []
     for name, kind in KINDS.items():
