--- a/opalwick/lab/commands.py
+++ b/opalwick/lab/commands.py
@@ -217,11 +217,11 @@
 @app.command()
 @checked
 def fleet(
-    day: Annotated[str, typer.Argument(metavar="DAY", help="A built-in fleet day or a file; `days` lists them.")],
+    day: Annotated[str, typer.Argument(metavar="DAY", help="A built-in fleet day or a file; `days`: all.")],
     seed: Seed = 1,
     clock: Annotated[str, typer.Option(help="virtual, or sockets: a process a member.")] = "virtual",
     members: Annotated[int, typer.Option(help="So many, instead of the day's own number; 0: that.")] = 0,
-    out: Annotated[Optional[Path], typer.Option(help="Keeps histories, day, result, page and logs there.")] = None,
+    out: Annotated[Optional[Path], typer.Option(help="Keeps histories, day, page and logs there.")] = None,
     as_json: Json = False,
 ) -> None:
     """Plays a day of many members with faults between them, and judges what the fleet promises.
--- a/opalwick/lab/fleet/faults.py
+++ b/opalwick/lab/fleet/faults.py
@@ -134,7 +134,7 @@
             self.note("paused" if still else "resumed", member)
 
     def starve(self, member: int, size: float) -> None:
-        """The judge of the four rules allows it a fiftieth of a second for each that it shares its core with."""
+        """The judge of the four rules allows it a fiftieth of a second for each that shares its core."""
         self.processes.starve(member, size)
         world = self.world
         world.ledger.note(world.agenda.now, "starved", world.names[member], 0.02 * size)
--- a/opalwick/lab/fleet/report.py
+++ b/opalwick/lab/fleet/report.py
@@ -23,7 +23,7 @@
 
 
 def _members(history: dict[str, Any]) -> str:
-    """Who ran, stood still or was gone; whom others held gone as dots; who owned what as bars within the row."""
+    """Who ran, stood still or was gone; whom others held gone as dots; who owned what as bars."""
     from matplotlib.figure import Figure
 
     fleet, truth, end = history["fleet"], Truth(history["fleet"]), history["length"]
@@ -127,7 +127,8 @@
     return "\n".join(
         [
             f"<!doctype html><meta charset=utf-8><title>{title}</title><style>{STYLE}</style>",
-            f"<h1>{title}</h1><p>seed {history['seed']}, {history['clock']} clock, {fleet['members']} members; "
+            f"<h1>{title}</h1>",
+            f"<p>seed {history['seed']}, {history['clock']} clock, {fleet['members']} members; "
             f"figure {report['figure']:.4f}, {report['taken']} work items taken.</p>",
             f"<p class=bad>Void: {html.escape(report['void'])}</p>" if report["void"] else "",
             f"<h2>Broken</h2><table>{table}{''.join(rows)}</table>" if rows else "<p>Nothing broken.</p>",
--- a/opalwick/lab/fleet/sockets.py
+++ b/opalwick/lab/fleet/sockets.py
@@ -48,7 +48,7 @@
     told: Callable[[float], None] = staticmethod(lambda _: None)  # of the seconds that are over
 
     def __init__(self, day: FleetDay, seed: int, logs: Path, program: list[str] | None = None) -> None:
-        """`program`: a stand-in member's command in the place of `serve`; it gets its configuration's path."""
+        """`program`: a stand-in's command in the place of `serve`; it gets its configuration's path."""
         self.fleet_day, self.rows, self.program = day, Ledger(), program
         n = day.members
         self.operators: list[int] = []
--- a/opalwick/lab/fleet/today.py
+++ b/opalwick/lab/fleet/today.py
@@ -56,7 +56,7 @@
 
 
 def bad_workers(history: dict[str, Any], hand_offs: list[tuple[int, str, str]]) -> dict[str, float] | None:
-    """What went to workers that hang: hand-offs a worker, by how many schedulers, and again after a second."""
+    """What went to workers that hang: hand-offs a worker, by how many schedulers, and after a second."""
     hit = [row for row in history["fleet"]["rows"] if row[1] == "hit" and row[2] == "bad_worker"]
     windows = _windows(history, "bad_worker")
     if not hit or not windows:
@@ -99,7 +99,7 @@
 
 
 def cold_workers(history: dict[str, Any]) -> dict[str, float] | None:
-    """By what share of the most that it bears all schedulers together pushed a cold worker, at most in each."""
+    """By what share of the most that it bears all together pushed a cold worker, at most in each."""
     most: dict[str, float] = {}
     for row in history["fleet"]["rows"]:
         if row[1] == "pushed":
@@ -110,7 +110,7 @@
 
 
 def recovered(history: dict[str, Any]) -> dict[str, float] | None:
-    """Seconds after each start until a member has fresh sums of some zone, where it was started in the day."""
+    """Seconds after each start in the day until a member has fresh sums of some zone."""
     truth, times = Truth(history["fleet"]), []
     held: dict[int, list[int]] = defaultdict(list)
     for row in history["fleet"]["rows"]:
--- a/opalwick/lab/judge.py
+++ b/opalwick/lab/judge.py
@@ -344,7 +344,8 @@
         for hand in item.hand_offs:
             end = hand.dropped_at or hand.end_at or self.history["ended"]
             # half a second: far longer than a close takes; a scheduler that died meanwhile closes otherwise
-            if end > over + 500_000 + self.allowed(over, item.scheduler) and hand.at <= over + self.slack and not item.swallowed:
+            late = end > over + 500_000 + self.allowed(over, item.scheduler)
+            if late and hand.at <= over + self.slack and not item.swallowed:
                 if not any(over <= down <= end for down in self.downs.get(item.scheduler, [])):
                     self.breach("late_sends", over, "not taken back after the answer", item.id, hand.worker)
 
--- a/opalwick/lab/kinds.py
+++ b/opalwick/lab/kinds.py
@@ -38,7 +38,7 @@
         (1.0, 4.0),
     ),
     "untrue_reports": Kind(
-        "load reports are untrue: workers tell a share SIZE of what they hold, and the rest of their slots free",
+        "load reports are untrue: workers tell a share SIZE of what they hold, and the rest as free",
         0.0,
         (0.0, 0.5),
     ),
@@ -128,7 +128,7 @@
         (1.0, 1.0),
     ),
     "lossy_ways": Kind(
-        "ways between zones lose a share SIZE of what they carry: connections say it again later, words are gone",
+        "ways between zones lose a share SIZE: connections say it again later, words are gone",
         0.1,
         (0.02, 0.4),
     ),
--- a/opalwick/lab/sockets/stage.py
+++ b/opalwick/lab/sockets/stage.py
@@ -31,7 +31,8 @@
 from opalwick.lab.world.worker import Worker
 from opalwick.lab.world.world import World
 
-LINKS = {"silent_links", "one_sided", "refused", "half_resets", "slow_links"}  # faults that need a relay on each link
+# faults that need a relay on each link
+LINKS = {"silent_links", "one_sided", "refused", "half_resets", "slow_links"}
 READY = 20.0  # seconds within which all schedulers must be ready: a hundred times the usual
 # as each limit on sockets is 50 ms longer, and a process of the day may be late by as much again
 SLACK = 0.15
--- a/tests/fleet_members.py
+++ b/tests/fleet_members.py
@@ -1,5 +1,5 @@
-"""Stand-in members of a fleet for the judge's tests: one that does all right in the small, and others with one
-planted fault each. Run as `fleet_members.py NAME CONFIGURATION` one is a process of its own.
+"""Stand-in members of a fleet for the judge's tests: one that does all right in the small, and others with
+one planted fault each. Run as `fleet_members.py NAME CONFIGURATION` one is a process of its own.
 
 All beat to all. A duty is leased from a majority of the members, a limit is shared out by the duty's owner in
 equal parts that lapse, a verdict is told on with its age.
@@ -61,7 +61,7 @@
         self.verdicts = {stamp: made for stamp, made in self.verdicts.items() if self.now - made < 2.0}
 
     def stood(self) -> None:
-        """What it has not heard while it stood still says nothing, and it owns nothing until it has renewed."""
+        """What it has not heard meanwhile says nothing, and it owns nothing until it has renewed."""
         self.stood_at = self.now
         self.heard_at = dict.fromkeys(self.heard_at, self.now)
         self.owned_until = self.part_until = -1.0
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -1,4 +1,4 @@
-"""The lab of fleets: the judge catches one planted fault each, a sound fleet passes, and so does the program's."""
+"""The lab of fleets: the judge catches each planted fault, a sound fleet passes, and so does the program's."""
 
 from __future__ import annotations
 
@@ -100,7 +100,7 @@
 
 def test_one_seed_gives_one_history() -> None:
     day = drawn(read("mixed"), 1, 7)
-    small = parse(write(day).replace("members = 12", "members = 4").replace("workers = 18", "workers = 4"), "d")
+    small = msgspec.structs.replace(day, members=4, workers=4)
 
     def octets() -> bytes:
         history = play(small, 5)
