--- a/opalwick/fleet/members.py
+++ b/opalwick/fleet/members.py
@@ -388,13 +388,13 @@
                 self.owed.append((peer.number, self._word(What.DIGEST, digest=self._digest())))
 
     def _watch(self) -> Iterator[Peer]:
-        """The next ones in the ring: two that answer, and two for each that does not, so that a long row of
-        dead ones is walked in a few rounds; and all that are doubted."""
+        """The next ones in the ring: two that answer, and three for each that does not, so that a long row
+        of dead ones is walked in a few rounds; and all that are doubted."""
         left = self.terms.watched
         for peer in self.ring:
             if peer.there:
                 if peer.suspicion is not None:
-                    left += self.terms.watched
+                    left += 2 * self.terms.watched
                     yield peer
                 elif left > 0:
                     yield peer
