--- a/opalwick/lab/world/clients.py
+++ b/opalwick/lab/world/clients.py
@@ -89,6 +89,7 @@
             [i for i in range(day.schedulers) if i % len(day.zones) == zone] for zone in range(len(day.zones))
         ]
         self.up = [True] * day.schedulers
+        self.starts = [0] * day.schedulers
 
     def pick(self, zone: int, but: int = -1) -> int | None:
         among = [i for i in self.zones[zone] if self.up[i] and i != but]
@@ -97,12 +98,18 @@
         return among[int(self.draw.random() * len(among))] if among else None
 
     def lost(self, scheduler: int) -> None:
-        self.agenda.after(self.NOTICE, self._set, scheduler, False)
+        self.agenda.after(self.NOTICE, self._missed, scheduler, self.starts[scheduler])
+
+    def _missed(self, scheduler: int, start: int) -> None:
+        # one that is back by then was never missed: it must not be left out for the rest of the day
+        if self.starts[scheduler] == start:
+            self.up[scheduler] = False
 
     def _set(self, scheduler: int, up: bool) -> None:
         self.up[scheduler] = up
 
     def back(self, scheduler: int) -> None:
+        self.starts[scheduler] += 1
         self.up[scheduler] = True
 
 
--- a/tests/test_lab_world.py
+++ b/tests/test_lab_world.py
@@ -52,6 +52,19 @@
     assert octets(6) != alone
 
 
+def test_a_scheduler_that_is_back_before_it_was_missed_gets_requests_again() -> None:
+    world = World(day(), 4)
+    front = world.clients.front
+    front.lost(0)
+    world.agenda.run(0.5)
+    front.back(0)
+    world.agenda.run(5.0)
+    assert front.up == [True, True]
+    front.lost(1)
+    world.agenda.run(10.0)
+    assert front.up == [True, False]
+
+
 def test_a_fault_shifts_no_draw_of_another_purpose() -> None:
     """What is asked for, by whom and when, is the same whatever goes wrong."""
 
