--- a/opalwick/fleet/agent.py
+++ b/opalwick/fleet/agent.py
@@ -7,7 +7,7 @@
 from opalwick.fleet.members import Event, Members, Send, Terms, Wake
 
 _BELIEVED = {"joined": "alive", "returned": "alive", "cleared": "alive", "suspected": "suspected",
-             "gone": "gone", "left": "gone"}
+             "gone": "gone", "left": "left"}
 
 
 class Agent:
