Control: one content a number, drains confirmed by a majority, sealed stores, planned ends

Cause: a put with another content under the number held was answered 200 and hung onto the first; any office answered every drain and leave with 200, cut off or not; a depot that had said that it was empty still kept what came, and 'complete' was read from the primary's memory; a write said again on a slower link could replace a newer one; an office that ended left its place to be missed. Ruled out: to refuse every order of a number held (a lost answer's order is sent again and must be acknowledged); to keep the history in each office's memory (gone with a takeover).

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # What a developer does here; everything runs in the repository's own .venv.
 PYTHON = .venv/bin/python
 
-.PHONY: build demo demo-post test lint run regression clean
+.PHONY: build demo demo-post test lint run regression clean wire
 
 build: .venv/done
 
@@ -27,6 +27,10 @@
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -m mypy
 
+# the messages between processes, from their definition
+wire: build
+	cd opalwick/post && ../../$(PYTHON) -m grpc_tools.protoc -I. --python_out=. --pyi_out=. wire.proto
+
 # CONFIGURATION=file, or BALANCER_CONFIG in the environment
 run: build
 	$(PYTHON) -m opalwick serve $(CONFIGURATION)
--- a/opalwick/lab/post/roles.py
+++ b/opalwick/lab/post/roles.py
@@ -17,7 +17,7 @@
 from opalwick.post.counter.rounds import Start
 from opalwick.post.depot.agent import GATHER, load, on_disk
 from opalwick.post.depot.role import Depot
-from opalwick.post.office.agent import LEAVE, REMEMBER
+from opalwick.post.office.agent import LOOK, REMEMBER
 from opalwick.post.office.role import Office
 from opalwick.post.settings import Settings
 from opalwick.post.verdict import Verdict, of_status
@@ -343,7 +343,12 @@
         self.after(REMEMBER, self.remember)
 
     def term(self) -> None:
-        self.after(LEAVE, self.exit)
+        self.role.leave()
+        self.settle()
+        self.leave()
+
+    def leave(self) -> None:
+        self.after(0.0 if self.role.gone else LOOK, self.exit if self.role.gone else self.leave)
 
 
 DISKS.update(depot=disks.Depot, office=lambda name: disks.Office())
--- a/opalwick/lab/verify/depots.py
+++ b/opalwick/lab/verify/depots.py
@@ -61,6 +61,7 @@
     hold: int = 0  # what goes one way between them comes later, in order
     split: int = 0  # of two depots
     retire: int = 0
+    unheard: int = 0  # processes that hear of the retirement later, or start without having heard of it
     turns: int = -1  # how often another than the next comes first; -1: all orders are seen
 
     def less(self, name: str) -> Budget:
@@ -165,6 +166,8 @@
         self.held: frozenset[Way] = frozenset()
         self.frozen: frozenset[str] = frozenset()
         self.retiring: frozenset[str] = frozenset()
+        self.unheard: frozenset[str] = frozenset()  # who has not heard of that yet
+        self.away: frozenset[str] = frozenset()  # taken away after the operator was told that they are empty
         self.accepted: frozenset[str] = frozenset()  # answered 202
         self.offered = 0
         self.wiped = 0
@@ -215,6 +218,8 @@
             sorted(self.held),
             sorted(self.frozen),
             sorted(self.retiring),
+            sorted(self.unheard),
+            sorted(self.away),
             sorted(self.accepted),
             self.offered,
             self.wiped,
@@ -255,12 +260,21 @@
             found += [("offers", me) for me in self.counters[:1] if self.runs(me)]
         if left.retire and quiet and not self.retiring:
             found.append(("retires", self.depots[0]))
+            if left.unheard:
+                found += [("retires, unheard", self.depots[0], me) for me in self.names if self.runs(me)]
+        found += [("hears of it", me) for me in sorted(self.unheard) if self.runs(me) and quiet]
+        found += [("is taken away", me) for me in sorted(self.retiring - self.away)
+                  if self.runs(me) and self.machines[me].role.keeping.moving.empty]
         for me in self.counters:
             if left.ends and quiet and self.runs(me) and self.machines[me].flights:
                 found.append(("has a success", me))
         for me, machine in self.machines.items():
+            if me in self.away:
+                continue
             if machine.role is None:
                 found.append(("starts", me))
+                if left.unheard and me in self.retiring:
+                    found.append(("starts, unheard", me))
                 continue
             if left.crash:
                 found.append(("crashes", me))
@@ -319,14 +333,24 @@
                 role.offered(Client(new.machines[me].answers), SimpleNamespace(first_at=new.now), letter, 0.0)
             case "retires":
                 new.budget, new.retiring = new.budget.less("retire"), frozenset({me})
-                for other in new.names:
-                    if new.machines[other].role is not None:
-                        new.news(other)
+                new.told_all()
+            case "retires, unheard":
+                new.budget = new.budget.less("retire").less("unheard")
+                new.retiring, new.unheard = frozenset({me}), frozenset(rest)
+                new.told_all()
+            case "hears of it":
+                new.unheard = self.unheard - {me}
+                new.news(me)
+            case "is taken away":
+                new.ends(me, "is taken away")
             case "crashes" | "crashes, written" | "loses its disk":
                 new.budget = new.budget.less("wipe" if kind == "loses its disk" else "crash")
                 new.ends(me, kind)
             case "starts":
                 new.start(me)
+            case "starts, unheard":
+                new.budget, new.unheard = new.budget.less("unheard"), self.unheard | {me}
+                new.start(me)
             case "stands still":
                 new.budget, new.frozen = new.budget.less("freeze"), self.frozen | {me}
             case "wakes":
@@ -446,16 +470,22 @@
             if other != me:
                 self.join(*self.pair(me, other))
 
+    def told_all(self) -> None:
+        for me in self.names:
+            if self.machines[me].role is not None:
+                self.news(me)
+
     def news(self, me: str) -> None:
         role = self.at(me).role
         conf = Conf.FromString(CONF.SerializeToString())
-        conf.seq = len(self.retiring)
-        conf.retiring.extend(sorted(self.retiring))
+        retiring = frozenset() if me in self.unheard else self.retiring
+        conf.seq = len(retiring)
+        conf.retiring.extend(sorted(retiring))
         role.directory.merge(News(conf=conf))
         if me in self.depots:
-            role.keeping.moving.retiring = set(self.retiring)
+            role.keeping.ordered((int(conf.gen), int(conf.seq)), set(retiring))
             return
-        role.intake.retiring = set(self.retiring)
+        role.intake.retiring = set(retiring)
         if role.rounds.routes is None:
             role.rounds.routes = Routes(conf)
             role.rounds.desks = {"s": OneWorker(Service(name="s"))}
@@ -467,6 +497,9 @@
         elif how == "loses its disk":
             self.wiped += 1
             machine.disk = Rows(f"{me}-{machine.life}")
+        elif how == "is taken away":  # with its disk, which is no loss: it has said that it is empty
+            self.away |= {me}
+            machine.disk = Rows(f"{me}-none")
         machine.role, machine.batch, machine.flights, machine.answers, machine.out = None, None, [], [], []
         self.frozen -= {me}
         for other in self.names:
--- a/opalwick/lab/verify/mutants.py
+++ b/opalwick/lab/verify/mutants.py
@@ -108,8 +108,8 @@
 
 @mutant("takeover", office(Takeover(reads=1, puts=1, turns=0), *TAKEN), "stale answer")
 def reads_answered_by_itself(patch: Patch) -> None:
-    def read(self: Views, call: int) -> None:
-        self.answers.append(Answer(call, 200))
+    def read(self: Views, call: int, status: int = 200) -> None:
+        self.answers.append(Answer(call, status))
 
     patch(Views, "read", read)
 
--- a/opalwick/lab/verify/rows.py
+++ b/opalwick/lab/verify/rows.py
@@ -16,6 +16,10 @@
         self.id, self.rotten = name, 0
         self.letters_of: dict[str, Row] = {}
         self.ends_of: dict[str, tuple[str, int, str, float, str]] = {}
+        self.sealed: tuple[int, int] | None = None
+
+    def seal(self) -> tuple[int, int] | None:
+        return self.sealed
 
     def letters(self) -> Iterator[Row]:
         return iter(list(self.letters_of.values()))
@@ -30,6 +34,9 @@
     def commit(self, writes: Sequence[tuple[str, tuple[Any, ...]]]) -> None:
         letters, ends = self.letters_of, self.ends_of
         for kind, fields in writes:
+            if kind in ("seal", "unseal"):
+                self.sealed = (fields[0], fields[1]) if kind == "seal" else None
+                continue
             mid = fields[0]
             known = letters.get(mid)
             if kind == "keep":
--- a/opalwick/post/depot/agent.py
+++ b/opalwick/post/depot/agent.py
@@ -92,6 +92,7 @@
 def load(role: Depot, disk: Disk, unix: float) -> None:
     """What the disk has, into the role. `unix`: from its clock to the time of day."""
     k = role.keeping
+    k.seal.loaded(disk.seal())
     for mid, complete, seal, until, holders in disk.ends():
         k.loaded_end(mid, bool(complete), seal, until - unix, tuple(holders.split()))
     for row in disk.letters():
--- a/opalwick/post/depot/disk.py
+++ b/opalwick/post/depot/disk.py
@@ -77,6 +77,14 @@
         if bad:
             self.commit([("forget", (mid,)) for mid in bad])
 
+    def seal(self) -> tuple[int, int] | None:
+        """The number and changes of the configuration by whose order this disk was sealed, if it was."""
+        found = self.db.execute("select value from facts where name = 'seal'").fetchone()
+        if found is None:
+            return None
+        gen, seq = found[0].split()
+        return int(gen), int(seq)
+
     def letters(self) -> Iterator[Row]:
         return map(
             Row._make, self.db.execute("select mid, letter, due, until, fails, lost, holders from letters")
@@ -120,6 +128,10 @@
                     run("delete from letters where mid = ?", fields)
                 elif kind == "audit":           # window, home, copies or runs, country
                     audit.note(self.db, fields)
+                elif kind == "seal":            # number and changes of a configuration
+                    run("insert or replace into facts values ('seal', ?)", (f"{fields[0]} {fields[1]}",))
+                elif kind == "unseal":
+                    run("delete from facts where name = 'seal'")
                 elif kind == "forget":
                     run("delete from ends where mid = ?", fields)
                     run("delete from letters where mid = ?", fields)
--- a/opalwick/post/depot/keeping.py
+++ b/opalwick/post/depot/keeping.py
@@ -14,6 +14,7 @@
 from typing import Any, NamedTuple
 
 from opalwick.post.depot.moving import Moving
+from opalwick.post.depot.seal import Seal
 from opalwick.post.home.policy import Policy
 from opalwick.post.names import owner
 from opalwick.post.wire_pb2 import (
@@ -129,6 +130,7 @@
         self.dead: dict[str, int] = {}              # octets of dead messages
         self.room, self.held = room, 0              # octets
         self.policy: Policy | None = None           # where messages with a home may be
+        self.seal = Seal()                          # once nothing is to be kept here any more
         self.moving = Moving(self, copies, spread)
         self.figures = {"kept": 0, "ended": 0, "assigned": 0, "lapsed": 0, "handed": 0, "refused": 0}
 
@@ -254,7 +256,7 @@
             return
         if self.leaving:
             return
-        if self.held + letter.ByteSize() > self.room:
+        if self.seal.closed or self.held + letter.ByteSize() > self.room:
             self.figures["refused"] += 1
             self.sends.append(Send(node, "kept", Kept(mid=mid, refused=True)))
             return
@@ -326,6 +328,18 @@
         for write in writes:
             if write.kind == "end":
                 self.unsynced.discard(write.fields[0])
+            elif write.kind == "seal":
+                self.seal.synced(write.fields)      # type: ignore[arg-type]
+
+    def seals(self, key: tuple[int, int]) -> None:
+        """Nothing is left here, and nothing comes any more; told once that is on the disk."""
+        self.writes.append(Write("seal", key))
+
+    def ordered(self, key: tuple[int, int], retiring: set[str]) -> None:
+        """Depots that are to be taken away by the configuration with that key; may be this one."""
+        self.moving.retiring = retiring
+        if self.seal.learned(key, self.node in retiring):
+            self.writes.append(Write("unseal", ()))
 
     def tried(self, node: str, word: Tried) -> None:
         entry = self.entries.get(word.mid)
@@ -535,8 +549,10 @@
                     known.claim = letter.claim
                     self.own(known, who)
                 self.writes.append(Write("holders", (mid, " ".join(known.holders)), then))
-            elif word.answer and self.held + letter.ByteSize() > self.room:
+            elif word.answer and (self.seal.closed or self.held + letter.ByteSize() > self.room):
                 self.send(node, "kept", Kept(mid=mid, refused=True))
+            elif self.seal.written is not None:
+                continue                            # nothing rests on this disk any more
             else:
                 entry = Entry(mid, tuple(letter.holders), self.now + letter.due, self.now + letter.until,
                               letter.fails, letter.lost, letter.ByteSize(), letter.home)
--- a/opalwick/post/depot/moving.py
+++ b/opalwick/post/depot/moving.py
@@ -93,6 +93,8 @@
             for entry in sorted(k.entries.values(), key=lambda e: e.until)[:4 * AT_ONCE]:
                 self.start(entry, k.node)
             self.move_ends()
+            if (key := k.seal.due(self.drained)) is not None:
+                k.seals(key)
             return
         gone = self.gone()
         if gone:
@@ -184,6 +186,11 @@
 
     @property
     def empty(self) -> bool:
+        """It is to be taken away, nothing is here that does not stand elsewhere, and nothing will be."""
+        return self.drained and self.k.seal.written is not None
+
+    @property
+    def drained(self) -> bool:
         """It is to be taken away, and nothing is here that does not stand elsewhere."""
         return (self.k.node in self.retiring and self.k.settled and not self.k.entries and not self.on_way
                 and all(mid in self.ends_done for mid in self.k.ends))
--- a/opalwick/post/depot/role.py
+++ b/opalwick/post/depot/role.py
@@ -121,7 +121,7 @@
     def news(self, news: News) -> None:
         """Depots are linked by the one whose name comes first."""
         if news.HasField("conf"):
-            self.keeping.moving.retiring = set(news.conf.retiring)
+            self.keeping.ordered((int(news.conf.gen), int(news.conf.seq)), set(news.conf.retiring))
         self.govern()
         for node in self.nodes("depot"):
             if node.node > self.node:
--- a/opalwick/post/office/agent.py
+++ b/opalwick/post/office/agent.py
@@ -24,7 +24,7 @@
 
 BODY = 4 << 20      # octets of a call: a configuration of ten thousand routes
 REMEMBER = 0.5  # s between looks whether the directory has changed: what is lost of it is told again anyway
-LEAVE = 0.3         # s from SIGTERM to the end: what was asked is answered
+LOOK = 0.02         # s between looks whether what rests on this office is elsewhere
 
 
 def limits(settings: Settings) -> Limits:
@@ -117,6 +117,11 @@
         events.say(207)
         self.door.close_at = self.door.end_at = time.monotonic()
         self.door.turned.set()
-        gevent.sleep(LEAVE)
+        self.role.clock(time.monotonic())
+        self.role.leave()
+        self.settle()
+        while not self.role.gone:
+            gevent.sleep(LOOK)
+            self.role.clock(time.monotonic())
         self.ending = True
         self.disk.close()
--- a/opalwick/post/office/role.py
+++ b/opalwick/post/office/role.py
@@ -19,18 +19,36 @@
 from opalwick.post.home.policy import in_force
 from opalwick.post.home.reading import digest, unkept
 from opalwick.post.names import owner
+from opalwick.post.office import numbers
 from opalwick.post.office.duties import Duties
+from opalwick.post.office.notices import Notices, first_call
 from opalwick.post.office.registry import Registry
-from opalwick.post.office.views import Save, Stored, Views
+from opalwick.post.office.views import CONFLICT, OK, UNABLE, Save, Stored, Views
 from opalwick.post.office.window import Window
 from opalwick.post.settings import Settings
 from opalwick.post.station import Link, Station
-from opalwick.post.wire_pb2 import Conf, Forward, Forwarded, Home, Leased, News, Node, Pulse, Route, Service
+from opalwick.post.wire_pb2 import (
+    Conf,
+    Forward,
+    Forwarded,
+    Home,
+    Known,
+    Leased,
+    News,
+    Node,
+    Pulse,
+    Route,
+    Service,
+    Worker,
+)
 from opalwick.protocol.conversation import Call
 from opalwick.protocol.http import Malformed, Message
 
 WAIT = 0.85         # s for the primary's answer: callers wait a second
 CALLS = 256         # that wait for the primary at once; over it 503
+CONTACT = 1.0       # s since an office was heard that it counts as in touch: four pulses
+HANDOVER = 0.25     # share of the time to end in which what rests on this office goes elsewhere
+LEAVE = 0.3         # s from the order to end: what was asked is answered
 
 
 def packed(found: Configuration, said: bytes) -> bytes:
@@ -57,7 +75,7 @@
     caps = found.caps
     return Conf(gen=found.gen, routes=routes, services=services, head_bytes=caps.head_bytes,
                 body_bytes=caps.body_bytes, head=caps.head_ms / 1000.0, idle=caps.idle_ms / 1000.0,
-                said=said).SerializeToString()
+                said=said, digest=numbers.digest(said)).SerializeToString()
 
 
 def racked(body: bytes) -> bytes:
@@ -71,6 +89,10 @@
     return str(given["rack"]).encode()
 
 
+def no_machine(name: str) -> bytes:
+    return json.dumps({"err": f"no machine {name!r} keeps messages"}).encode()
+
+
 class Office(Station):
     role = "office"
 
@@ -90,7 +112,9 @@
         self.duties = Duties(now, stored is None and settings.bootstrap)
         self.saves: list[Save] = []
         self.waiting: dict[int, tuple[float, Callable[[int, bytes], None]]] = {}
-        self.calls = 0
+        self.calls = first_call(life)
+        self.notices = Notices(self.views, life)
+        self.left_at = 0.0                          # when it was told to end
         self.last_conf = b""
         self.empty: dict[str, bool] = {}            # depots that say that nothing is left there
         self.votes = self.ip in self.views.voters
@@ -107,7 +131,8 @@
     # ---- links
 
     def pulse(self, link: Link) -> Pulse:
-        return Pulse(settled=self.views.settled, gen=max(0, self.views.known_gen))
+        return Pulse(settled=self.views.settled, gen=max(0, self.views.known_gen),
+                     leaving=self.views.leaving)
 
     def up(self, link: Link) -> None:
         peer = link.peer
@@ -123,6 +148,7 @@
         self.told_held.pop(link, None)
         if link.peer.role == "office" and self.office(link.peer.ip) is None:
             self.views.linked.discard(link.peer.ip)
+            self.views.leavers.discard(link.peer.ip)
 
     def heard(self, link: Link, kind: str, word: Any) -> None:
         v = self.views
@@ -131,6 +157,14 @@
             match kind:
                 case "pulse":
                     (v.unsettled.discard if word.settled else v.unsettled.add)(sender)
+                    (v.leavers.add if word.leaving else v.leavers.discard)(sender)
+                case "spread":
+                    self.take_news(link, word.news)
+                    link.say("known", Known(call=word.call, view=v.view))
+                case "known":
+                    self.notices.known(sender, word)
+                case "resign":
+                    v.resigned(sender, word)
                 case "beat":
                     v.beats(sender, word)
                 case "beaten":
@@ -144,12 +178,7 @@
                 case "forwarded":
                     self.reply(word.call, word.status, word.body)
                 case "news":
-                    fresh, changed = self.registry.take(word)
-                    if changed:
-                        self.spread(fresh, True, link.peer.node, offices=False)
-                    for node in fresh.nodes:
-                        if node.role == "office":
-                            self.want(node.ip)
+                    self.take_news(link, word)
         elif kind == "pulse":
             if link.peer.role == "depot":
                 self.empty[link.peer.node] = word.empty
@@ -165,6 +194,15 @@
                                           same=same,
                                           voters=len(self.views.voters) if self.votes else 0))
 
+    def take_news(self, link: Link, news: News) -> None:
+        """Of another office; what is new of it goes on to all but offices before anything else is said."""
+        fresh, changed = self.registry.take(news)
+        if changed:
+            self.spread(fresh, True, link.peer.node, offices=False)
+        for node in fresh.nodes:
+            if node.role == "office":
+                self.want(node.ip)
+
     def spread(self, news: News, changed: bool, but: str = "", offices: bool = True) -> None:
         """To the other offices; to counters and depots only what changes something for them."""
         if empty(news):
@@ -230,7 +268,8 @@
         self.last_conf = conf
         told = Conf.FromString(conf)
         self.window.published(told)
-        told.said = b""
+        told.said = told.digest = b""
+        del told.past[:]
         if told.HasField("home"):
             told.home.ClearField("said")
             told.home.ClearField("keepers")
@@ -271,23 +310,26 @@
             # what stands beside the operator's configuration goes on into the next
             told, newest = Conf.FromString(body), Conf.FromString(v.newest())
             told.seq = newest.seq
+            if told.gen > newest.gen:
+                numbers.follow(told, newest)
             told.retiring.extend(newest.retiring)
+            told.emptied.extend(newest.emptied)
             if newest.HasField("window"):
                 told.window.CopyFrom(newest.window)
             if newest.HasField("home"):
                 told.home.CopyFrom(newest.home)
             v.put(self.wait(answer), told.SerializeToString())
         elif what == "retire":
-            self.retire(body.decode(), answer)
+            # what is refused here is refused for good: an office that was replaced must not do so
+            v.read(self.wait(lambda status, _: self.retire(body.decode(), answer) if status == OK
+                             else answer(status, b"")))
         elif what == "home":
             self.put_home(Home.FromString(body), answer)
         elif what.startswith("window/"):
             self.window.carry_out(what[7:], body, answer)
         elif what == "retired":
-            name = body.decode()
-            there = Conf.FromString(v.in_force)
-            done = name in there.retiring and self.empty.get(name, False)
-            answer(200, b'{"state":"complete"}' if done else b'{"state":"active"}')
+            v.read(self.wait(lambda status, _: self.retired(body.decode(), answer) if status == OK
+                             else answer(status, b"")))
         else:
             def read(status: int, _: bytes) -> None:
                 if status != 200:
@@ -324,6 +366,8 @@
         """Orders that a depot be emptied: counters pass it over, its copies go elsewhere (`moving.py`)."""
         v, copies = self.views, self.settings.survive.boxes + 1
         newest = Conf.FromString(v.newest())
+        if not self.keeps_messages(name):
+            return answer(404, no_machine(name))
         if not newest.gen:
             return answer(503, b"")             # before any configuration there is nothing to keep
         if name in newest.retiring:
@@ -342,6 +386,30 @@
         self.event(212, depot=name, left=len(left))
         v.put(self.wait(answer), newest.SerializeToString())
 
+    def keeps_messages(self, name: str) -> bool:
+        node = self.directory.nodes.get(name)
+        if node is not None and node.role == "depot":
+            return True
+        return name in Conf.FromString(self.views.newest()).retiring
+
+    def retired(self, name: str, answer: Callable[[int, bytes], None]) -> None:
+        """Complete is what all members have on their disks, and nothing less: it is never taken back."""
+        if not self.keeps_messages(name):
+            return answer(404, no_machine(name))
+        done = name in Conf.FromString(self.views.in_force).emptied
+        answer(OK, b'{"state":"complete"}' if done else b'{"state":"active"}')
+
+    def note_emptied(self) -> None:
+        """At the primary: a depot that takes nothing any more says that nothing is left there."""
+        v = self.views
+        there = Conf.FromString(v.in_force)
+        fresh = [name for name in there.retiring if self.empty.get(name, False) and name not in there.emptied]
+        if fresh and not v.queue:
+            there.emptied.extend(fresh)
+            there.seq += 1
+            self.event(216, depots=",".join(fresh))
+            v.put(self.wait(lambda status, body: None), there.SerializeToString())
+
     def at_home(self, name: str, conf: Conf, left: set[str]) -> float:
         """Depots that would be left in that one's country, where a partner is at home there."""
         policy = in_force(conf, self.settings)
@@ -359,6 +427,9 @@
         if len(kept) < len(there.retiring) and not self.views.queue:
             del there.retiring[:]
             there.retiring.extend(kept)
+            emptied = [name for name in there.emptied if name in kept]
+            del there.emptied[:]
+            there.emptied.extend(emptied)
             there.seq += 1
             self.views.put(self.wait(lambda status, body: None), there.SerializeToString())
 
@@ -383,14 +454,12 @@
                 self.beaten(call, name, message.body)
             case b"workers", b"DELETE", True:
                 news, changed = self.registry.left(self.now, name)
-                self.spread(news, changed)
-                self.ok(call)
+                self.confirm(call, name, news, changed)
             case b"conf", b"PUT", False:
                 match check(message.body):
                     case Success(found):
-                        self.at_primary(
-                            "put", packed(found, message.body), lambda s, b: self.told(call, s, b)
-                        )
+                        self.at_primary("put", packed(found, message.body),
+                                        lambda s, b: self.told_conf(call, found.gen, s))
                     case failure:
                         raise Malformed(400, failure.failure())
             case b"conf", b"GET", False:
@@ -400,9 +469,6 @@
             case b"home", b"GET", False:
                 self.at_primary("policy", b"", lambda s, b: self.told_home(call, s, b))
             case b"retire", b"POST" | b"GET", True:
-                node = self.directory.nodes.get(name)
-                if node is None or node.role != "depot":
-                    raise Malformed(404, f"no machine {name!r} keeps messages")
                 what = "retire" if message.method == b"POST" else "retired"
                 self.at_primary(what, name.encode(), lambda s, b: self.told(call, s, b))
             case b"maintenance", b"PUT" | b"GET", False if not rest:
@@ -425,15 +491,27 @@
         if status == 200:
             self.ok(call, body or b"{}")
         elif status == 404:
-            call.answer(404, b'{"err":"there is no configuration yet"}', "Content-Type: application/json")
+            body = body or b'{"err":"there is no configuration yet"}'
+            call.answer(404, body, "Content-Type: application/json")
         elif status == 409:
             call.answer(409, b'{"err":"too few machines would be left"}', "Content-Type: application/json")
-        elif status == 503:
-            call.answer(503, b'{"err":"no primary can answer now"}', "Content-Type: application/json",
-                        "Retry-After: 1")
+        elif status == UNABLE:
+            self.unable(call, "no primary can answer now")
         else:
             call.answer(status, b'{"err":"it may be in force: ask again"}', "Content-Type: application/json")
 
+    def told_conf(self, call: Call, number: int, status: int) -> None:
+        if status == CONFLICT:
+            why = f"gen {number} stands for another configuration: take a higher number"
+            call.answer(CONFLICT, json.dumps({"err": why}).encode(), "Content-Type: application/json")
+        else:
+            self.told(call, status, b"")
+
+    def unable(self, call: Call, why: str) -> None:
+        """Nothing was promised: the caller goes on to another office."""
+        call.answer(UNABLE, json.dumps({"err": why}).encode(), "Content-Type: application/json",
+                    "Retry-After: 1")
+
     def window_moved(self, serial: int, phase: str, what: str, at: float) -> None:
         self.event(215, window=serial, phase=phase, what=what, at=at)
 
@@ -466,14 +544,41 @@
         match read_beat(name, body):
             case Success(beat):
                 news, changed = self.registry.beat(self.now, beat)
-                # cut off from the others, which may have told counters that the worker is silent
-                self.spread(news, changed or not self.views.reaches)
                 if changed:
                     self.event(211, worker=beat.id, svc=beat.svc, draining=beat.draining)
-                self.ok(call)
+                # cut off from the others, which may have told counters that the worker is silent
+                changed = changed or not self.views.reaches
+                if beat.draining:
+                    return self.confirm(call, name, news, changed)
+                self.spread(news, changed)
+                if self.in_contact:
+                    self.ok(call)
+                else:
+                    self.unable(call, "this scheduler is not in touch with a majority")
             case failure:
                 raise Malformed(400, failure.failure())
 
+    @property
+    def in_contact(self) -> bool:
+        """Whether a majority of the voters, itself included, was heard of late."""
+        heard = {link.peer.ip for link in self.of("office") if self.now - link.heard_at < CONTACT}
+        return Views.enough(self.views.view, {self.ip} | heard)
+
+    def confirm(self, call: Call, worker: str, news: News, changed: bool) -> None:
+        """That a worker drains or has left is a promise that nothing new comes: a majority must know first,
+        and all that are in touch with it have been told by then.
+        """
+        self.spread(news, changed, offices=False)
+        known = self.directory.workers.get(worker)
+        told = News(workers=[known] if known is not None else [Worker(id=worker, gone=True)])
+
+        def answer(confirmed: bool) -> None:
+            if confirmed:
+                self.ok(call)
+            else:
+                self.unable(call, "this scheduler cannot reach a majority")
+        self.notices.tell(self.now, told, self.of("office"), answer)
+
     # ---- what it remembers of the directory
 
     def memory(self) -> bytes | None:
@@ -497,12 +602,30 @@
             self.spread(self.registry.tick(self.now), True, offices=False)
             if self.views.active:
                 self.spread(self.registry.missing(self.now, {*self.links, self.node}), True)
+                self.note_emptied()
                 self.forget_retired()
         self.window.tick()
+        self.notices.tick(self.now)
         # a put may be in force though nobody heard of it: no clear answer
         for call in [call for call, (until, _) in self.waiting.items() if until <= self.now]:
             self.reply(call, 504, b"")
 
+    # ---- its end
+
+    def leave(self) -> None:
+        """It is to end: what rests on it goes elsewhere first, where another can take it."""
+        self.left_at = self.now
+        self.views.leave()
+        for link in self.of("office"):
+            link.say("pulse", self.beat(link))
+
+    @property
+    def gone(self) -> bool:
+        """Nothing rests on it any more, or the time that it had for that is over."""
+        age = self.now - self.left_at
+        return bool(self.left_at) and age >= LEAVE and (
+            not self.views.needed or age >= HANDOVER * self.settings.bounds.grace)
+
     def figures(self) -> dict[str, Any]:
         v = self.views
         return {"epoch": v.view.epoch, "state": v.state, "gen": v.known_gen, "voters": len(v.voters),
--- a/opalwick/post/office/views.py
+++ b/opalwick/post/office/views.py
@@ -17,7 +17,20 @@
 from collections.abc import Container
 from typing import Any, NamedTuple
 
-from opalwick.post.wire_pb2 import Beat, Beaten, Canvass, Conf, Install, Installed, View, Vote, Write, Written
+from opalwick.post.office import numbers
+from opalwick.post.wire_pb2 import (
+    Beat,
+    Beaten,
+    Canvass,
+    Conf,
+    Install,
+    Installed,
+    Resign,
+    View,
+    Vote,
+    Write,
+    Written,
+)
 
 BEAT = 0.2          # s between the primary's beats: a word a voter, lost only with the link
 LATE = 0.8          # s without a beat until a voter looks for another primary: four beats
@@ -36,6 +49,9 @@
 MOST = 9            # voters: a core of more is judged by those that have just acknowledged something
 
 
+OK, CONFLICT = 200, 409     # statuses of a put: in force or superseded; the number stands for another content
+UNKNOWN, UNABLE = 504, 503  # it may be in force or not; nothing has happened
+
 Key = tuple[int, int]   # of a configuration: its number, and changes beside it
 
 
@@ -60,12 +76,20 @@
     status: int
 
 
+class Read(NamedTuple):
+    """A call that is answered with `status` once it is sure that no other office is the primary."""
+    call: int
+    beat: int           # that a majority must answer
+    until: float
+    status: int
+
+
 class Pending:
-    """A change on its way, and the calls that wait for it."""
+    """A change on its way, and the calls that wait for it, each with its status once that is in force."""
     __slots__ = ("calls", "key", "conf", "until", "number", "needs")
 
     def __init__(self, call: int, key: Key, conf: bytes, until: float) -> None:
-        self.calls, self.key, self.conf, self.until = [call], key, conf, until
+        self.calls, self.key, self.conf, self.until = [(call, OK)], key, conf, until
         self.number, self.needs = 0, set[str]()
 
 
@@ -107,7 +131,9 @@
         self.answered: dict[str, int] = {}          # the last beat that each answered
         self.said_at = self.wrote_at = -1e9
         self.queue: list[Pending] = []              # changes, the first is on its way
-        self.reads: list[tuple[int, int, float]] = []   # call, beat that must be answered, until
+        self.reads: list[Read] = []
+        self.leaving = False                        # this process is about to end
+        self.leavers = set[str]()                   # offices that said so of themselves
         self.learned: dict[str, Vote] = {}          # blank: what the others said
         self.asked_at = -1e9
         self.saves: list[Save] = []
@@ -199,9 +225,8 @@
             self.events.append((204, {"epoch": self.epoch}))
         self.state = "follower"
         for pending in self.queue:              # it may yet be in force: no clear answer
-            self.answers += [Answer(call, 504) for call in pending.calls]
-        for call, _, _ in self.reads:
-            self.answers.append(Answer(call, 503))
+            self.answers += [Answer(call, UNKNOWN) for call, _ in pending.calls]
+        self.answers += [Answer(read.call, UNABLE) for read in self.reads]
         self.queue, self.reads, self.votes, self.offered, self.next = [], [], {}, None, None
         self.joined.clear()
 
@@ -233,23 +258,28 @@
                     self.look_at = now + STEP
                     return
                 self.stand(late)                # with another backup, where a majority goes along
+            elif self.leaving and not self.queue:
+                if (heir := self.heir()) is not None:
+                    return self.resign(heir)
+            elif (out := self.members_that_leave()) and now - self.began > BEAT and not self.queue:
+                self.stand(out)
             elif (now - self.began > (BEAT if self.view.before else LATE) and not self.queue
                   and not self.reads and (change := self.change()) is not None):
                 self.stand([m for m in self.view.voters if m not in self.lately], change)
             if self.queue and now - self.wrote_at >= BEAT:
                 self.say_write()                # a word may be lost with its link
             for pending in [p for p in self.queue if p.until <= now]:
-                self.answers += [Answer(call, 504) for call in pending.calls]
+                self.answers += [Answer(call, UNKNOWN) for call, _ in pending.calls]
                 pending.calls, pending.until = [], 1e18
-            for read in [r for r in self.reads if r[2] <= now]:
+            for read in [r for r in self.reads if r.until <= now]:
                 self.reads.remove(read)
-                self.answers.append(Answer(read[0], 503))
+                self.answers.append(Answer(read.call, UNABLE))
         elif self.state == "follower":
             if self.fresh and self.primaryless:  # once: then whoever stands has its time
                 self.look_at = min(self.look_at, self.born + AT_ONCE * (1 + self.rank))
-            if self.me in self.voters and now >= self.look_at:
+            if self.me in self.voters and now >= self.look_at and not self.leaving:
                 if self.reaches:
-                    self.stand()
+                    self.stand(sorted(self.leavers))
                 else:                           # an epoch that none can vote for only unsettles who follows
                     self.look_at = now + STEP
         elif now - self.began <= ROUND:
@@ -263,6 +293,45 @@
             self.follow()
             self.look_at = now + STEP * self.rank
 
+    # ---- a planned end
+
+    def leave(self) -> None:
+        """This process is about to end: what it has alone must be elsewhere first."""
+        self.leaving = True
+
+    @property
+    def needed(self) -> bool:
+        """Whether it is the primary, or its disk one of those that what is acknowledged rests on."""
+        return self.state != "follower" or self.member and self.me in self.view.members
+
+    def stays(self, voter: str) -> bool:
+        return voter != self.me and voter in self.lately and voter not in self.leavers
+
+    def heir(self) -> str | None:
+        """As primary: who is to be it next, a member if one stays."""
+        return next((voter for voter in (*self.view.members, *self.view.voters) if self.stays(voter)), None)
+
+    def members_that_leave(self) -> list[str]:
+        """As primary: members that are about to end, where another voter can take the place of each."""
+        out = [member for member in self.view.members if member in self.leavers]
+        spare = [voter for voter in self.view.voters if self.stays(voter) and voter not in self.view.members]
+        return out if len(spare) >= len(out) else []
+
+    def resign(self, heir: str) -> None:
+        """It serves no more, from this moment on; the heir need not wait until it is missed."""
+        word = Resign(epoch=self.epoch, heir=heir)
+        self.follow()
+        self.primary, self.beat_at = "", -1e9
+        for voter in self.others():
+            self.say(voter, "resign", word)
+
+    def resigned(self, sender: str, word: Resign) -> None:
+        if self.state != "follower" or word.epoch != self.view.epoch or sender != self.view.primary:
+            return
+        self.primary, self.beat_at = "", -1e9
+        self.leavers.add(sender)
+        self.look_at = self.now if word.heir == self.me else self.now + LATE + STEP * self.rank
+
     # ---- standing for primary
 
     def change(self) -> tuple[list[str], list[str]] | None:
@@ -398,6 +467,9 @@
     def offer_to(self, voter: str) -> None:
         if self.offered is not None:
             view, conf = self.offered
+            if self.state == "primary" and self.queue and self.queue[0].number:
+                # it may have said that it has what is being written, and have lost it since
+                conf = max(conf, self.queue[0].conf, key=self.read_key)
             word = Install(view=view, conf=conf if voter in view.members else b"")
             if voter == self.me:
                 self.install(self.me, word)
@@ -482,19 +554,18 @@
 
     def serve_reads(self) -> None:
         for read in list(self.reads):
-            call, number, _ = read
             backups = [m for m in self.view.members if m != self.me]
-            there = {self.me} | {voter for voter, n in self.answered.items() if n >= number}
-            if self.enough(self.view, there) and all(self.answered.get(m, 0) >= number for m in backups):
+            there = {self.me} | {voter for voter, n in self.answered.items() if n >= read.beat}
+            if self.enough(self.view, there) and all(self.answered.get(m, 0) >= read.beat for m in backups):
                 self.reads.remove(read)
-                self.answers.append(Answer(call, 200))
+                self.answers.append(Answer(read.call, read.status))
 
-    def read(self, call: int) -> None:
-        """Answered with 200 once it is sure that no other is the primary."""
+    def read(self, call: int, status: int = OK) -> None:
+        """Answered with `status` once it is sure that no other is the primary."""
         if not self.active or len(self.reads) >= FEW:
-            return self.answers.append(Answer(call, 503))
+            return self.answers.append(Answer(call, UNABLE))
         self.beat()
-        self.reads.append((call, self.number, self.now + CALL))
+        self.reads.append(Read(call, self.number, self.now + CALL, status))
         self.serve_reads()
 
     def newest(self) -> bytes:
@@ -502,19 +573,24 @@
         return self.queue[-1].conf if self.queue else self.in_force
 
     def put(self, call: int, conf: bytes) -> None:
-        """Answered with 200 once the backups have it; one that is not newer alters nothing."""
+        """Answered with OK once the backups have it. A number that is not newer alters nothing: it is OK
+        again with the content that it stands for, and CONFLICT with another.
+        """
         if not self.active or len(self.queue) >= FEW or self.short:
-            return self.answers.append(Answer(call, 503))
+            return self.answers.append(Answer(call, UNABLE))
         key, newest = self.read_key(conf), max([self.key, *[p.key for p in self.queue]])
-        if key <= newest:
-            if key <= self.key:
-                return self.read(call)
-            self.queue[-1].calls.append(call)   # it alters nothing once that is in force
-            self.queue[-1].until = min(self.queue[-1].until, self.now + CALL)
+        if key > newest:
+            self.queue.append(Pending(call, key, conf, self.now + CALL))
+            if len(self.queue) == 1:
+                self.write_next()
             return
-        self.queue.append(Pending(call, key, conf, self.now + CALL))
-        if len(self.queue) == 1:
-            self.write_next()
+        found = numbers.match(Conf.FromString(self.newest()), Conf.FromString(conf))
+        status = CONFLICT if found is numbers.Match.OTHER else OK
+        if not self.queue:
+            return self.read(call, status)
+        # what the number stands for is known once the change on its way is in force
+        self.queue[-1].calls.append((call, status))
+        self.queue[-1].until = min(self.queue[-1].until, self.now + CALL)
 
     def write_next(self) -> None:
         first = self.queue[0]
@@ -538,7 +614,8 @@
         if word.epoch != self.promised or word.epoch != self.view.epoch or not self.member:
             return self.say(sender, "written", Written(epoch=word.epoch, number=word.number, ok=False,
                                                        promised=self.promised))
-        self.conf = word.conf
+        if self.read_key(word.conf) >= self.read_key(self.conf):
+            self.conf = word.conf               # else a word that was said again, and came by a slower way
         if sender != self.me:
             self.hears()
         self.save((sender, "written", Written(epoch=word.epoch, number=word.number, ok=True,
@@ -563,7 +640,7 @@
             self.known_gen = self.key[0]
             self.committed.append(first.conf)
             self.offered = (self.view, first.conf)
-            self.answers += [Answer(call, 200) for call in first.calls]
+            self.answers += [Answer(call, status) for call, status in first.calls]
             self.events.append((205, {"gen": first.key[0], "seq": first.key[1], "epoch": self.epoch}))
             self.beat()
             if self.queue:
--- a/opalwick/post/office/window.py
+++ b/opalwick/post/office/window.py
@@ -157,6 +157,9 @@
         kept = [name for name in newest.retiring if name not in own]
         del newest.retiring[:]
         newest.retiring.extend([*kept, *wanted])
+        emptied = [name for name in newest.emptied if name in newest.retiring]
+        del newest.emptied[:]
+        newest.emptied.extend(emptied)
         w = newest.window
         del w.resting[:]
         w.resting.extend(state.rules)
--- a/tests/test_post_moving.py
+++ b/tests/test_post_moving.py
@@ -101,7 +101,7 @@
         d.hears(name, "c1", "end", End(mid="m1", complete=True, seal="s"))
         d.hears(name, "c1", "end", End(mid="m3", complete=False))
     for k in d.k.values():
-        k.moving.retiring = {"d1"}
+        k.ordered((1, 1), {"d1"})
     assert not d.k["d1"].moving.empty
     for _ in range(400):
         d.until(d.now + 0.02)
@@ -158,9 +158,9 @@
     d.until(4.0)
     for name in ("d2", "d1"):
         d.hears(name, "c1", "keep", Keep(letter=Letter(mid="m", holders=["d2", "d1"], until=90.0)))
-    for retiring in ("d1", "d2"):
+    for seq, retiring in enumerate(("d1", "d2")):
         for k in d.k.values():
-            k.moving.retiring = {retiring}
+            k.ordered((1, seq), {retiring})
         d.until(d.now + 3.0)
     assert d.copies("m") == ["d1", "d3"] and d.k["d3"].acts(d.k["d3"].entries["m"])
     assert [kind for kind, _ in d.told] == ["kept", "kept", "holders", "holders"]
