--- a/opalwick/lab/verify/command.py
+++ b/opalwick/lab/verify/command.py
@@ -10,7 +10,7 @@
 app = typer.Typer(add_completion=False, help="Every interleaving in the small, of the post's own cores.")
 
 BROKEN, FAULTY = 1, 2  # exit codes
-NAMES = ("takeover", "fence", "lease")
+NAMES = ("takeover", "fence", "lease", "notice", "answer")
 
 
 def fail(text: str) -> typer.Exit:
--- a/opalwick/lab/verify/depots.py
+++ b/opalwick/lab/verify/depots.py
@@ -167,6 +167,7 @@
         self.frozen: frozenset[str] = frozenset()
         self.retiring: frozenset[str] = frozenset()
         self.unheard: frozenset[str] = frozenset()  # who has not heard of that yet
+        self.complete: frozenset[str] = frozenset()  # depots that said that they are empty
         self.away: frozenset[str] = frozenset()  # taken away after the operator was told that they are empty
         self.accepted: frozenset[str] = frozenset()  # answered 202
         self.offered = 0
@@ -219,6 +220,7 @@
             sorted(self.frozen),
             sorted(self.retiring),
             sorted(self.unheard),
+            sorted(self.complete),
             sorted(self.away),
             sorted(self.accepted),
             self.offered,
@@ -263,8 +265,7 @@
             if left.unheard:
                 found += [("retires, unheard", self.depots[0], me) for me in self.names if self.runs(me)]
         found += [("hears of it", me) for me in sorted(self.unheard) if self.runs(me) and quiet]
-        found += [("is taken away", me) for me in sorted(self.retiring - self.away)
-                  if self.runs(me) and self.machines[me].role.keeping.moving.empty]
+        found += [("is taken away", me) for me in sorted(self.complete - self.away)]
         for me in self.counters:
             if left.ends and quiet and self.runs(me) and self.machines[me].flights:
                 found.append(("has a success", me))
@@ -433,6 +434,8 @@
         quick = []
         for me in there:
             role = self.at(me).role
+            if me in self.depots and role.keeping.moving.empty:
+                self.complete |= {me}
             for other in self.names:
                 line = role.link(other) if other != me else None
                 if line is None or line.number != self.numbers[self.pair(me, other)]:
--- a/opalwick/lab/verify/mutants.py
+++ b/opalwick/lab/verify/mutants.py
@@ -7,7 +7,9 @@
 from contextlib import contextmanager
 from typing import Any, NamedTuple
 
+from opalwick.lab.verify.answers import Answers
 from opalwick.lab.verify.explorer import Walk, World, explore
+from opalwick.lab.verify.notices import Notices, Replaced
 from opalwick.lab.verify.parts import (
     ALONE,
     BACK,
@@ -15,27 +17,37 @@
     KEPT,
     LATER,
     LEARNED,
+    ORDERED,
     OVERTAKEN,
     SERVES,
     SETTLED,
+    STARTED,
     TAKEN,
+    TWO,
     UNHEARD,
+    Answer as Asking,
     Fence,
     Lease,
+    Notice,
     Takeover,
     depot,
     lease,
     office,
 )
-from opalwick.post.counter import ceilings
+from opalwick.post.counter import answers, ceilings, delivery
 from opalwick.post.counter import role as counter_role
 from opalwick.post.counter.ceilings import Ceilings
+from opalwick.post.counter.delivery import Delivery
 from opalwick.post.counter.intake import Intake
 from opalwick.post.counter.role import Counter
 from opalwick.post.depot import keeping
 from opalwick.post.depot.keeping import Keeping, Send, Write
 from opalwick.post.depot.moving import Moving
+from opalwick.post.depot.seal import Seal
+from opalwick.post.office import numbers
 from opalwick.post.office.duties import Duties
+from opalwick.post.office.notices import Notices as Confirming
+from opalwick.post.office.role import Office
 from opalwick.post.office.views import Answer, Pending, Views
 from opalwick.post.wire_pb2 import Written
 
@@ -197,6 +209,48 @@
     patch(Views, "offer_to", bare)
 
 
+@mutant("takeover", office(Takeover(puts=1, again=1, turns=0), *SERVES), "two confirmed")
+def another_content_is_confirmed(patch: Patch) -> None:
+    patch(numbers, "match", lambda newest, given: numbers.Match.SAME)
+
+
+@mutant("takeover", office(Takeover(puts=1, again=1, turns=0), *SERVES), "refused again")
+def a_repeated_order_is_refused(patch: Patch) -> None:
+    patch(numbers, "match", lambda newest, given: numbers.Match.OTHER)
+
+
+@mutant("takeover", office(Takeover(puts=1, again=1, turns=0), *TWO), "two confirmed")
+def earlier_numbers_are_forgotten(patch: Patch) -> None:
+    patch(numbers, "follow", lambda conf, newest: None)
+
+
+@mutant("takeover", office(Takeover(puts=2, short=1, slow=1, turns=0), *SERVES), "lost")
+def an_older_word_is_written_over_a_newer(patch: Patch) -> None:
+    read_key, write = Views.read_key, Views.write
+
+    def writes(self: Views, sender: str, word: Any) -> None:
+        self.read_key = lambda conf: read_key(conf) if conf != self.conf else (-1, 0)  # type: ignore[method-assign]
+        write(self, sender, word)
+        del self.read_key  # type: ignore[misc]
+
+    patch(Views, "write", writes)
+
+
+@mutant("takeover", office(Takeover(puts=1, ends=1, turns=0), *SERVES), "lost")
+def ends_with_what_rests_on_it(patch: Patch) -> None:
+    patch(Views, "needed", False)
+
+
+@mutant("takeover", office(Takeover(short=3, ends=1, turns=0), *SERVES), "lost")
+def a_witness_is_not_asked_for_a_place(patch: Patch) -> None:
+    """It resigns, and takes what follows for done: its copy is the only one beside the heir's."""
+
+    def needed(self: Views) -> bool:
+        return self.state != "follower"
+
+    patch(Views, "needed", property(needed))
+
+
 # ---- fence
 
 
@@ -326,6 +380,38 @@
     patch(Moving, "start", at_once)
 
 
+THREE = ("d1", "d2", "d3")
+AWAY_UNHEARD = depot(Fence(time=4, offers=1, turns=0), *ORDERED, names=THREE)
+AWAY_ANEW = depot(Fence(time=2, offers=1, turns=0), *STARTED, names=THREE)
+
+
+@mutant("fence", AWAY_UNHEARD, "copies", "early 202")
+def one_that_is_to_be_taken_away_keeps_what_comes(patch: Patch) -> None:
+    patch(Seal, "closed", False)
+
+
+@mutant("fence", AWAY_ANEW, "copies", "early 202")
+def empty_is_said_without_a_seal(patch: Patch) -> None:
+    patch(Moving, "empty", Moving.drained)
+    patch(Seal, "due", lambda self, empty: None)
+
+
+@mutant("fence", AWAY_ANEW, "copies", "early 202")
+def the_seal_is_not_read_at_the_start(patch: Patch) -> None:
+    patch(Seal, "loaded", lambda self, key: None)
+
+
+@mutant("fence", AWAY_ANEW, "copies", "early 202")
+def an_older_configuration_lifts_the_seal(patch: Patch) -> None:
+    learned = Seal.learned
+
+    def any_key(self: Seal, key: Any, retiring: bool) -> bool:
+        self.written = (-1, -1) if self.written is not None else None
+        return learned(self, key, retiring)
+
+    patch(Seal, "learned", any_key)
+
+
 # ---- lease
 
 
@@ -390,3 +476,88 @@
         leased(self, office, word)
 
     patch(Ceilings, "leased", any_time)
+
+
+# ---- notice
+
+
+def told_of_a_drain(**more: int) -> Callable[[], World]:
+    return lambda: Notices(Notice(**more))
+
+
+@mutant("notice", told_of_a_drain(cut=1), "confirmed alone")
+def a_drain_is_confirmed_by_one_alone(patch: Patch) -> None:
+    def tell(self: Confirming, now: float, news: Any, links: Any, answer: Any) -> None:
+        answer(True)
+
+    patch(Confirming, "tell", tell)
+
+
+@mutant("notice", told_of_a_drain(cut=1), "confirmed untold")
+def known_is_said_before_it_is_told_on(patch: Patch) -> None:
+    take_news = Office.take_news
+
+    def keeps(self: Office, link: Any, news: Any) -> None:
+        spread, self.spread = self.spread, lambda *_, **__: None  # type: ignore[method-assign,assignment]
+        take_news(self, link, news)
+        self.spread = spread  # type: ignore[method-assign]
+
+    patch(Office, "take_news", keeps)
+
+
+@mutant("notice", lambda: Replaced(Notice()), "confirmed alone", "confirmed untold")
+def confirmed_by_the_voters_of_before(patch: Patch) -> None:
+    known = Confirming.known
+
+    def forgets(self: Confirming, office: str, word: Any) -> None:
+        word.view.Clear()
+        known(self, office, word)
+
+    patch(Confirming, "known", forgets)
+
+
+# ---- answer
+
+
+def asked(requests: int) -> Callable[[], World]:
+    return lambda: Answers(Asking(requests=requests))
+
+
+@mutant("answer", asked(3), "another's answer", "said not run")
+def an_answer_without_an_id_is_taken(patch: Patch) -> None:
+    belongs = answers.belongs
+    for place in (answers, delivery):
+        patch(place, "belongs", lambda answer, request_id, only: belongs(answer, request_id, True))
+
+
+@mutant("answer", asked(3), "another's answer", "said not run")
+def another_requests_answer_is_taken(patch: Patch) -> None:
+    for place in (answers, delivery):
+        patch(place, "belongs", lambda answer, request_id, only: True)
+
+
+@mutant("answer", asked(2), "said not run", "another's answer")
+def who_speaks_first_is_heard(patch: Patch) -> None:
+    def greet(self: Delivery, connection: Any) -> None:
+        self.alone = connection.used == 1
+
+    patch(Delivery, "greet", greet)
+
+
+@mutant("answer", asked(2), "beyond a break")
+def a_connection_with_half_a_request_is_kept(patch: Patch) -> None:
+    listen = Delivery.listen
+
+    def keeps(self: Delivery, connection: Any) -> Any:
+        self.whole = True
+        return listen(self, connection)
+
+    patch(Delivery, "listen", keeps)
+
+
+@mutant("answer", asked(2), "said not run")
+def a_break_is_taken_for_not_run(patch: Patch) -> None:
+    def bare(self: Delivery, outcome: Any) -> Any:
+        return delivery.Verdict.NOT_SENT, "", None
+
+    patch(Delivery, "bare", bare)
--- /dev/null
+++ b/opalwick/lab/verify/notices.py
@@ -0,0 +1,187 @@
+"""That a worker drains is confirmed by a majority: offices as they are in service, gateways that hear them.
+
+The office's own code takes the call, spreads the notice, takes it in and answers. Who is linked to whom is
+cut and joined at any moment; words wait on each link, in order. What holds here rests on no clock but the
+patience after which an office says that it could not confirm.
+"""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+from opalwick.lab.verify.explorer import Broken, Step
+from opalwick.lab.verify.replayed import Replayed
+from opalwick.post.office.role import Office
+from opalwick.post.settings import Settings, parse
+from opalwick.post.wire_pb2 import Hello, View
+from opalwick.protocol.http import Message
+
+OFFICES = ("o1", "o2", "o3", "o4")  # o4 has no vote by the view that o1 knows
+GATEWAYS = ("g1", "g2")
+ADDRESS = {name: f"10.0.0.{number}" for number, name in enumerate((*OFFICES, *GATEWAYS), 1)}
+NAME = {ip: name for name, ip in ADDRESS.items()}
+WORKER = "w1"
+DRAINING = b'{"svc":"s","address":"10.9.0.1:80","capacity":1,"state":"draining","calls":2}'
+LATER = 1.0  # s: over the patience for a majority's answers
+
+
+class Budget(NamedTuple):
+    """How often each may happen in one history."""
+
+    drains: int = 1
+    leaves: int = 0
+    cut: int = 0
+    joined: int = 0
+    later: int = 0
+
+
+class Line:
+    """A link as an office sees it: what is said on it waits on the way."""
+
+    def __init__(self, world: Notices, sender: str, peer: Hello) -> None:
+        self.world, self.sender, self.peer, self.heard_at = world, sender, peer, 0.0
+
+    def say(self, kind: str, word: Any) -> None:
+        if kind in ("news", "spread", "known"):
+            self.world.words.setdefault((self.sender, self.peer.node), []).append((kind, word))
+
+
+class Worker:
+    """A call of a worker and what it was answered."""
+
+    def __init__(self, method: bytes) -> None:
+        self.message = Message(0.0)
+        self.message.method, self.message.target = method, b"/workers/" + WORKER.encode()
+        self.message.body = DRAINING
+        self.status = 0
+
+    def answer(self, status: int, body: bytes = b"", *fields: str) -> None:
+        self.status = status
+
+
+class Quiet(Office):
+    def event(self, number: int, **fields: Any) -> None: ...
+
+
+def settings(name: str) -> Settings:
+    seeds = ",".join(f"{ADDRESS[one]}:80" for one in OFFICES[:3])
+    return parse(f"node={name}\nrole=office\nip={ADDRESS[name]}\naz=n\nport_range=7240,7255\nseeds={seeds}\n"
+                 "bootstrap=true\nbinds.ctl=10.0.0.1:80\n", "small")
+
+
+SETTINGS = {name: settings(name) for name in OFFICES}
+
+
+class Notices(Replayed):
+    """Rules: `confirmed alone`, `confirmed untold`. o2, o3 and o4 vote by a view that o1 has not heard of, if
+    `replaced`.
+    """
+
+    replaced = False
+
+    def begin(self) -> None:
+        self.words: dict[tuple[str, str], list[tuple[str, Any]]] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.cut_once: set[tuple[str, str]] = set()
+        self.offices = {name: Quiet(SETTINGS[name], 1, 10.0, None) for name in OFFICES}
+        self.calls: list[Worker] = []
+        self.now = 10.0
+        for a in OFFICES:
+            for b in (*OFFICES, *GATEWAYS):
+                if a != b:
+                    self.link(a, b)
+        voters = [ADDRESS[name] for name in (OFFICES[1:] if self.replaced else OFFICES[:3])]
+        self.newest = View(epoch=7 if self.replaced else 0, voters=voters, members=voters[:2])
+        for name in OFFICES[1:] if self.replaced else ():
+            self.offices[name].views.view = self.newest
+        self.words.clear()
+
+    def link(self, a: str, b: str) -> None:
+        role = "office" if b in OFFICES else "counter"
+        self.offices[a].joined(Line(self, a, Hello(node=b, role=role, ip=ADDRESS[b], zone="n", life=1)))
+
+    def knows(self, office: str) -> bool:
+        known = self.offices[office].directory.workers.get(WORKER)
+        return known is not None and (known.draining or known.gone)
+
+    def steps(self) -> list[Step]:
+        left = self.budget
+        # what is on its way to a gateway comes, or is lost with its link
+        found: list[Step] = [("hears", to, sender) for sender, to in sorted(self.words) if to in OFFICES]
+        for name in OFFICES[:2]:
+            found += [("is told of a drain", name)] * bool(left.drains)
+            found += [("is told of an end", name)] * bool(left.leaves)
+        for pair in ((a, b) for a in OFFICES for b in (*OFFICES, *GATEWAYS) if a < b or b in GATEWAYS):
+            if left.cut and pair not in self.cuts:
+                found.append(("cut", *pair))
+            if left.joined and pair in self.cuts:
+                found.append(("joined", *pair))
+        return found + [("later", name) for name in OFFICES[:1] if left.later]
+
+    def spend(self, name: str) -> None:
+        self.budget = self.budget._replace(**{name: getattr(self.budget, name) - 1})
+
+    def do(self, step: Step) -> None:
+        kind, me, *rest = step
+        match kind:
+            case "hears":
+                word, *others = self.words.pop((rest[0], me))
+                if others:
+                    self.words[rest[0], me] = others
+                self.hears(me, rest[0], *word)
+            case "is told of a drain" | "is told of an end":
+                self.spend("drains" if kind == "is told of a drain" else "leaves")
+                call = Worker(b"PUT" if kind == "is told of a drain" else b"DELETE")
+                self.calls.append(call)
+                self.offices[me].called(call)  # type: ignore[arg-type]
+            case "cut" | "joined":
+                self.spend(kind)
+                self.cuts ^= {(me, rest[0])}
+                self.cut_once |= {(me, rest[0])}
+                for a, b in ((me, rest[0]), (rest[0], me)):
+                    self.words.pop((a, b), None)
+                    if a not in OFFICES:
+                        continue
+                    if kind == "joined":
+                        self.link(a, b)
+                    else:
+                        self.offices[a].parted(self.offices[a].links[b][0])
+            case "later":
+                self.spend("later")
+                self.now += LATER
+                self.offices[me].clock(self.now)
+                self.offices[me].notices.tick(self.now)
+        self.judge()
+
+    def hears(self, me: str, sender: str, kind: str, word: Any) -> None:
+        if (line := self.offices[me].link(sender)) is not None:
+            self.offices[me].hear(line, kind, word)
+
+    def judge(self) -> None:
+        for call in self.calls:
+            if call.status == 200:
+                self.judge_confirmed()
+
+    def judge_confirmed(self) -> None:
+        knowing = [name for name in OFFICES if self.knows(name)]
+        voters = {NAME[ip] for ip in self.newest.voters}
+        if 2 * len(voters.intersection(knowing)) <= len(voters):
+            raise Broken("confirmed alone", f"{' and '.join(knowing)} know, of {sorted(voters)}")
+        for gateway in GATEWAYS:
+            linked = {name for name in voters if (name, gateway) not in self.cut_once}
+            coming = any(
+                word.workers and any(w.draining or w.gone for w in word.workers)
+                for name in OFFICES for _, word in self.words.get((name, gateway), ()))
+            if 2 * len(linked) > len(voters) and not coming:
+                raise Broken("confirmed untold", f"{gateway} hears {sorted(linked)}, and nothing comes")
+
+    def state(self) -> Any:
+        words = [(way, [(kind, word.SerializeToString()) for kind, word in waits])
+                 for way, waits in sorted(self.words.items())]
+        offices = [(self.knows(name), sorted((call, sorted(notice.known)) for call, notice in
+                                             self.offices[name].notices.waiting.items())) for name in OFFICES]
+        return words, offices, sorted(self.cuts), [call.status for call in self.calls], self.now
+
+
+class Replaced(Notices):
+    replaced = True
--- a/opalwick/lab/verify/offices.py
+++ b/opalwick/lab/verify/offices.py
@@ -15,6 +15,7 @@
 from opalwick.lab.verify.copying import Copier, Seen
 from opalwick.lab.verify.explorer import Broken, Step
 from opalwick.lab.verify.words import Said, packed, unpacked
+from opalwick.post.office import numbers
 from opalwick.post.office.duties import Duties
 from opalwick.post.office.role import Office
 from opalwick.post.office.views import Key, Save, Stored, Views
@@ -56,14 +57,27 @@
     wipe: int = 0
     cut: int = 0  # a link ends, and what is on it is lost
     late: int = 0  # a link ends, and what is on it comes beside the next one's words
+    slow: int = 0  # the same, and it comes after whatever goes on meanwhile
     freeze: int = 0  # an office stands still until it wakes; where all orders are seen, that is one of them
     hold: int = 0  # what goes one way of a link comes later, in order
+    again: int = 0  # numbers that were sent are sent again, with either text
+    ends: int = 0  # an office is told to end, and ends once nothing rests on it any more
     turns: int = -1  # how often another than the next comes first; -1: all orders are seen
 
     def less(self, name: str) -> Budget:
         return self._replace(**{name: getattr(self, name) - 1})
 
 
+class Asked(NamedTuple):
+    """A call of an operator; `floor` was in force when it began."""
+
+    at: str
+    what: str
+    key: Key
+    floor: Key
+    text: str
+
+
 class Mouth:
     """A link, as an office says something on it."""
 
@@ -135,7 +149,7 @@
 
 class Offices:
     """Rules: `two texts`, `two primaries`, `stepped back`, `lost`, `stale answer`, `voted unlearned`,
-    `voted twice`, `vote back`, `early word`.
+    `voted twice`, `vote back`, `early word`, `two confirmed`, `refused again`, `left alone`.
     """
 
     def __init__(self, budget: Budget, spares: tuple[str, ...] = ()) -> None:
@@ -150,15 +164,18 @@
         self.cuts: frozenset[Way] = frozenset()
         self.frozen: frozenset[str] = frozenset()
         self.held: frozenset[Way] = frozenset()
+        self.slow: frozenset[Way] = frozenset()  # ways on which what was said on an earlier link still waits
         # what was said and seen, which the properties are about
         self.contents: tuple[tuple[Key, bytes], ...] = ()  # in force by anybody's word
         self.newest: Key = (-1, 0)  # acknowledged
-        self.calls: tuple[tuple[str, str, Key, Key], ...] = ()  # at whom, what, its number, what was in force
+        self.calls: tuple[Asked, ...] = ()
+        self.confirmed: tuple[tuple[int, str], ...] = ()  # number, text
         self.open: frozenset[int] = frozenset()  # calls without an answer
         self.promised: tuple[tuple[str, int, str], ...] = tuple(
             (me, 0, "") for me in self.names
         )  # by words that went out
         self.wiped = 0
+        self.away: frozenset[str] = frozenset()  # ended as planned, and its disk is gone
         self.link_up(*NAMES)
         for me in NAMES:
             self.settle(me)
@@ -184,12 +201,15 @@
             self.budget,
             sorted(self.frozen),
             sorted(self.held),
+            sorted(self.slow),
             sorted(self.contents),
             self.newest,
             self.calls,
+            self.confirmed,
             sorted(self.open),
             self.promised,
             self.wiped,
+            sorted(self.away),
         )
         found.update(repr(rest).encode())
         return found.digest()
@@ -209,6 +229,8 @@
         for me in self.names:
             machine = self.machines[me]
             seat = machine.seat
+            if me in self.away:
+                continue
             if seat is None:
                 found.append(("starts", me))
                 continue
@@ -222,8 +244,12 @@
                     found.append(("crashes, written", me))
             if left.wipe and self.bears_loss(me):
                 found.append(("loses its disk", me))
+            if seat.views.leaving and not seat.views.needed and machine.seat is not None:
+                found.append(("ends", me))
             if me in self.frozen or not quiet:
                 continue
+            if left.ends and not seat.views.leaving:
+                found.append(("is to end", me))
             primary = seat.views.state == "primary"
             if left.puts and primary:
                 found += [("put", me, *put) for put in self.puts()]
@@ -243,13 +269,16 @@
             else:
                 if left.cut:
                     found.append(("cut", a, b))
-                if left.late and ((a, b) in self.links or (b, a) in self.links):
-                    found.append(("linked anew", a, b))
+                if (a, b) in self.links or (b, a) in self.links:
+                    found += [(kind, a, b) for kind, left_over in (
+                        ("linked anew", left.late), ("linked anew, slowly", left.slow)) if left_over]
+        found += [("comes at last", way[1], way[0]) for way in sorted(self.slow) if quiet]
         return found
 
     def of_itself(self) -> list[Step]:
         """What comes by itself, sooner or later; the first is next where `turns` bounds all else."""
-        found: list[Step] = [("hears late", way[1], way[0]) for way in sorted(self.old)]
+        late = [way for way in sorted(self.old) if way not in self.slow]
+        found: list[Step] = [("hears late", way[1], way[0]) for way in late]
         found += [("hears", way[1], way[0]) for way in sorted(self.links) if way not in self.held]
         found += [
             ("synced", me)
@@ -260,10 +289,15 @@
 
     def puts(self) -> list[tuple[int, str]]:
         """A new number, and the newest one again with another text."""
-        top = max([self.newest[0], 0, *[key[0] for _, what, key, _ in self.calls if what == "put"]])
-        text = "ab"[sum(what == "put" for _, what, _, _ in self.calls) % 2]
-        again = any(what == "put" and key[0] == top for _, what, key, _ in self.calls)
-        return [(top + 1, text)] + ([(top, text)] if again else [])
+        puts = [call for call in self.calls if call.what == "put"]
+        top = max([self.newest[0], 0, *[call.key[0] for call in puts]])
+        text = "ab"[len(puts) % 2]
+        again = any(call.key[0] == top for call in puts)
+        found = [(top + 1, text)] + ([(top, text)] if again else [])
+        if self.budget.again:  # each number that was sent, with either text
+            found += [(number, other) for number in sorted({call.key[0] for call in puts}) for other in "ab"
+                      if (number, other) not in found]
+        return found
 
     def bears_loss(self, me: str) -> bool:
         """No disk was lost since all was whole: more than one at once is not survived."""
@@ -311,14 +345,25 @@
             case "put":
                 new.budget = new.budget.less("puts")
                 gen, text = rest
-                new.call(me, "put", (gen, 0))
-                new.seat(me).views.put(
-                    len(new.calls) - 1, Conf(gen=gen, said=text.encode()).SerializeToString()
-                )
+                new.call(me, "put", (gen, 0), text)
+                views, told = new.seat(me).views, Conf(gen=gen, said=text.encode())
+                newest = Conf.FromString(views.newest())
+                if gen > newest.gen:
+                    numbers.follow(told, newest)
+                views.put(len(new.calls) - 1, told.SerializeToString())
             case "read":
                 new.budget = new.budget.less("reads")
                 new.call(me, "read", (-1, 0))
                 new.seat(me).views.read(len(new.calls) - 1)
+            case "is to end":
+                new.budget = new.budget.less("ends")
+                new.seat(me).views.leave()
+                for other in new.names:
+                    if other != me and me in self.linked_to(other):
+                        new.machines[other] = self.machines[other].copy()
+                        new.seat(other).views.leavers.add(me)
+            case "ends":
+                new.ends(me, kind)
             case "crashes" | "crashes, written" | "loses its disk":
                 new.budget = new.budget.less("wipe" if kind == "loses its disk" else "crash")
                 new.ends(me, kind)
@@ -338,19 +383,22 @@
                 new.cuts = self.cuts - {(me, rest[0])}
                 new.machines[rest[0]] = self.machines[rest[0]].copy()
                 new.link_up(me, rest[0])
-            case "linked anew":
-                new.budget = new.budget.less("late")
+            case "linked anew" | "linked anew, slowly":
+                new.budget = new.budget.less("late" if kind == "linked anew" else "slow")
                 for way in ((me, rest[0]), (rest[0], me)):
                     if way in new.links:
                         new.grow_old(way)
+                        new.slow = new.slow | ({way} if kind != "linked anew" else set())
+            case "comes at last":
+                new.slow = self.slow - {(rest[0], me)}
         if new.machines[me].seat is not None:
             new.settle(me)
         new.judge()
         return new
 
-    def call(self, me: str, what: str, key: Key) -> None:
+    def call(self, me: str, what: str, key: Key, text: str = "") -> None:
         self.open = self.open | {len(self.calls)}
-        self.calls = (*self.calls, (me, what, key, self.newest))
+        self.calls = (*self.calls, Asked(me, what, key, self.newest, text))
 
     def ends(self, me: str, how: str) -> None:
         """Its words that are on their way still come; what others said to it is lost."""
@@ -361,17 +409,25 @@
         elif how == "loses its disk":
             machine.disk, machine.held = None, False
             self.wiped += 1
+        elif how == "ends":  # for good, with its disk: it has said that nothing rests on it
+            machine.disk, machine.held = None, False
+            self.away = self.away | {me}
         machine.seat = None
         self.frozen = self.frozen - {me}
         self.held = frozenset(way for way in self.held if me not in way)
-        self.open = frozenset(call for call in self.open if self.calls[call][0] != me)
+        self.open = frozenset(call for call in self.open if self.calls[call].at != me)
         for other in self.names:
             self.links.pop((other, me), None)
             self.old.pop((other, me), None)
+            self.slow = self.slow - {(other, me)}
             if (me, other) in self.links:
                 self.grow_old((me, other))
         self.link_up()
 
+    def linked_to(self, me: str) -> set[str]:
+        seat = self.machines[me].seat
+        return seat.views.linked if seat is not None else set()
+
     def grow_old(self, way: Way) -> None:
         """What is on it comes beside what is said from now on."""
         self.old[way] = self.old.get(way, ()) + self.links.pop(way)
@@ -462,9 +518,11 @@
         if call not in self.open:
             return
         self.open = self.open - {call}
+        _, what, key, floor, text = self.calls[call]
+        if what == "put":
+            self.judge_number(me, status, key[0], text)
         if status != 200:
             return
-        _, what, key, floor = self.calls[call]
         has = seat.in_force[0]
         if has < max(key, floor):
             raise Broken(
@@ -472,6 +530,20 @@
             )
         self.newest = max(self.newest, has)
 
+    def judge_number(self, me: str, status: int, number: int, text: str) -> None:
+        """A number stands for one content, which is never refused once it was confirmed."""
+        known = dict(self.confirmed).get(number)
+        if status == 200 and known is not None and known != text:
+            raise Broken("two confirmed", f"{me} confirms {text!r} under {number}, {known!r} was confirmed")
+        if status == 409 and known == text:
+            raise Broken("refused again", f"{me} refuses {text!r} under {number}, which was confirmed")
+        if status == 200 and known is None and number <= self.newest[0] and (
+            (number, 0), text.encode()
+        ) not in self.contents:
+            return  # superseded before it was ever in force: it alters nothing
+        if status == 200 and known is None:
+            self.confirmed = (*self.confirmed, (number, text))
+
     def judge(self) -> None:
         """Of the whole state."""
         if self.newest > (-1, 0):
--- a/opalwick/lab/verify/parts.py
+++ b/opalwick/lab/verify/parts.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from opalwick.lab.verify import depots, leases, offices
+from opalwick.lab.verify import answers, depots, leases, notices, offices
 from opalwick.lab.verify.explorer import Broken, Step, World
 
 
@@ -95,6 +95,8 @@
     ("waits", "o1"),
     ("waits", "o1"),
 )
+# 1 and 2 have been in force, and a put of 2 with another text was sent
+TWO: tuple[Step, ...] = (*SERVES, ("put", "o1", 2, "b"))
 MENDED: tuple[Step, ...] = (*LEARNED, ("waits", "o1"), ("put", "o1", 2, "b"))
 
 
@@ -115,6 +117,18 @@
 UNHEARD: tuple[Step, ...] = (*KEPT, ("holds up", "d1", "c1"), ("holds up", "d2", "c1"))
 
 
+# d1 is to be taken away; c1 has not heard of it
+ORDERED: tuple[Step, ...] = (*SETTLED, ("retires, unheard", "d1", "c1"))
+# after that was said it is started anew, and has not heard of it
+STARTED: tuple[Step, ...] = (
+    *ORDERED,
+    *(LATER * 2),
+    ("crashes", "d1"),
+    ("starts, unheard", "d1"),
+    *(LATER * 4),
+)
+
+
 def depot(budget: depots.Budget, *script: Step, names: tuple[str, ...] = ("d1", "d2")) -> Callable[[], World]:
     full = Fence._make([99] * (len(Fence._fields) - 1) + [0])._replace(sends=0)
     return lambda: calm(depots.Depots(full, names), budget, *script)
@@ -134,6 +148,14 @@
 
 HELD: tuple[Step, ...] = (("time", ""),) * 2
 
+# ---- notice: all offices and gateways are linked, and no word is on its way
+
+Notice = notices.Budget
+
+# ---- answer: no connection is open yet
+
+Answer = answers.Budget
+
 PARTS: dict[str, tuple[Case, ...]] = {
     "takeover": (
         Case("a put, the primary stands again, any order", office(Takeover(puts=1, long=1), *SERVES), 50000),
@@ -148,6 +170,23 @@
         Case("one stands still", office(Takeover(1, 1, long=1, short=1, freeze=1, turns=1), *SERVES), 15000),
         Case("cut in two", office(Takeover(puts=2, long=2, cut=1, turns=0), *SERVES), 15000),
         Case("an old primary that was not told", office(Takeover(2, 1, long=1, turns=1), *TAKEN), 15000),
+        Case("numbers sent again", office(Takeover(puts=3, long=1, again=1, turns=0), *SERVES), 15000),
+        Case(
+            "numbers sent again, a crash",
+            office(Takeover(puts=2, long=2, crash=1, again=1, turns=0), *TWO),
+            15000,
+        ),
+        Case(
+            "a word said again on two links",
+            office(Takeover(puts=2, short=1, slow=1, hold=1, turns=0), *SERVES),
+            15000,
+        ),
+        Case("a planned end", office(Takeover(puts=1, short=3, long=1, ends=1, turns=0), *SERVES), 15000),
+        Case(
+            "a planned end, then a lost disk",
+            office(Takeover(puts=1, short=2, long=1, ends=1, wipe=1, turns=0), *SERVES),
+            15000,
+        ),
         Case(
             "an office replaced, a crash",
             office(Takeover(puts=1, short=2, long=1, crash=1, turns=0), *REPLACED, spares=("o4",)),
@@ -184,6 +223,25 @@
             ),
             10000,
         ),
+        Case(
+            "taken away, one has not heard",
+            depot(Fence(time=5, offers=1, turns=0), *ORDERED, names=("d1", "d2", "d3")),
+            10000,
+        ),
+        Case(
+            "taken away, started anew",
+            depot(
+                Fence(time=4, offers=1, crash=1, unheard=1, turns=0),
+                *STARTED,
+                names=("d1", "d2", "d3"),
+            ),
+            10000,
+        ),
+        Case(
+            "taken away, then a lost disk",
+            depot(Fence(time=6, retire=1, wipe=1, unheard=1, turns=0), *KEPT, names=("d1", "d2", "d3")),
+            10000,
+        ),
     ),
     "lease": (
         Case("from the first word, any order", lease(Lease(time=2)), 10000),
@@ -193,4 +251,16 @@
         Case("one stands still", lease(Lease(time=7, freeze=1, lost=1, turns=0), *HELD), 50000),
         Case("offices start anew, words late", lease(Lease(time=6, crash=2, turns=1), *HELD), 15000),
     ),
+    "notice": (
+        Case("a worker drains", lambda: notices.Notices(Notice()), 1000),
+        Case("a worker drains, a cut", lambda: notices.Notices(Notice(cut=1, later=1)), 3000),
+        Case("a worker drains, cut and joined", lambda: notices.Notices(Notice(cut=1, joined=1)), 3000),
+        Case("a worker drains and leaves", lambda: notices.Notices(Notice(leaves=1)), 3000),
+        Case("by a view of before", lambda: notices.Replaced(Notice(later=1)), 1000),
+        Case("by a view of before, a cut", lambda: notices.Replaced(Notice(cut=1)), 3000),
+    ),
+    "answer": (
+        Case("two requests", lambda: answers.Answers(Answer(requests=2)), 1000),
+        Case("four requests", lambda: answers.Answers(Answer(requests=4)), 3000),
+    ),
 }
--- a/opalwick/post/counter/agent.py
+++ b/opalwick/post/counter/agent.py
@@ -26,6 +26,7 @@
 
 ACCEPTS = 512       # messages on their way to depots at once: two seconds of a small machine's most
 BODY = 1 << 20      # octets of a body at most, whatever the configuration allows
+FINISH = 0.05       # s between looks whether all is finished before its end
 LAST = 1.0          # s before SIGKILL that it ends whatever is left
 
 
@@ -101,6 +102,14 @@
 
     # ---- running
 
+    def finish(self, until: float) -> None:
+        """Returns once nothing is held and nobody is owed an answer, at that time at the latest."""
+        while time.monotonic() < until and not (self.role.gone and not self.door.conversations):
+            if self.role.closing and not self.closing:
+                self.door.close_at = self.door.end_at = time.monotonic()
+                self.door.turned.set()
+            gevent.sleep(FINISH)
+
     def beat(self) -> None:
         """Runs in a greenlet of its own."""
         while True:
@@ -126,18 +135,18 @@
             for place in places
         ]
         self.door = doors[0]
-        for work in (self.beat, self.sweep, self.door.usher, *[door.accept for door in doors]):
+        for work in (self.beat, self.sweep, self.door.usher):
             self.forever(work)
+        accepting = [self.forever(door.accept) for door in doors]
         self.begin()
         self.stop.wait()
         self.role.clock(time.monotonic())
         self.role.leave()
         until = time.monotonic() + self.settings.bounds.grace - LAST
-        while time.monotonic() < until and not (self.role.gone and not self.door.conversations):
-            if self.role.closing and not self.closing:
-                self.door.close_at = self.door.end_at = time.monotonic()
-                self.door.turned.set()
-            gevent.sleep(0.05)
+        self.finish(until)
+        for greenlet in accepting:              # what was not accepted was not read: the client goes on
+            greenlet.kill()
+        self.finish(until)                      # a request may have come in the moment before
         events.say(104, held=self.role.rounds.held(), ends=len(self.role.rounds.ending))
         gevent.sleep(0.05)
         self.ending = True
--- a/opalwick/post/counter/delivery.py
+++ b/opalwick/post/counter/delivery.py
@@ -7,8 +7,9 @@
 from typing import Any, NamedTuple
 
 from opalwick.interface import Outcome
+from opalwick.post.counter.answers import EARLY, TAIL, belongs, verdict
 from opalwick.post.counter.desks import Load, load
-from opalwick.post.verdict import Verdict, of_status
+from opalwick.post.verdict import Verdict
 from opalwick.post.wire_pb2 import Letter
 from opalwick.protocol.errand import Answer, Errand
 from opalwick.protocol.http import Malformed, Message
@@ -47,7 +48,7 @@
 
 
 class Delivery(Errand):
-    __slots__ = ("rid", "tell", "worker", "meeting", "letter")
+    __slots__ = ("rid", "tell", "worker", "meeting", "letter", "whole", "alone")
 
     def __init__(self, place: tuple[str, int, str], letter: Letter, within: float, wanted: Callable[[], bool],
                  pool: Pool, limits: Limits, tell: Callable[[End, bool], None],
@@ -65,9 +66,14 @@
             Answer(limits, MOST),
         )
         self.rid, self.tell = letter.rid.encode("latin-1"), tell
+        self.whole = True                   # its last byte was written
+        self.alone = False                  # nothing else was ever asked on the connection
 
     def greet(self, connection: Connection) -> None:
         """An address may be another's by now, and the octets must not go there to find out."""
+        self.alone = connection.used == 1 and self.meeting is None
+        if self.alone and connection.readable():
+            raise ConnectionAbortedError        # who speaks before being asked is no worker
         if self.meeting is None or connection.known == self.worker.encode("latin-1"):
             return
         # the question waits for a slot as the message would: it may have half of the time
@@ -91,7 +97,25 @@
         assert self.letter is not None
         self.data = request(self.letter, self.until - LATE - time.monotonic(), self.worker)
 
+    def write(self, connection: Connection) -> None:
+        """Of a long request the last byte goes out only if no answer has come: without it nothing runs."""
+        if len(self.data) <= EARLY:
+            return super().write(connection)
+        connection.write(self.data[:-TAIL], self.until - time.monotonic())
+        if connection.readable():
+            self.whole = False
+        else:
+            connection.write(self.data[-TAIL:], self.until - time.monotonic())
+
     def listen(self, connection: Connection) -> End:
+        end = self.answered(connection)
+        if not self.whole:
+            connection.close()                  # the other side waits for the rest, or takes it for a request
+            if end[0].ran is not False:
+                return self.bare(Outcome.NOT_SENT)
+        return end
+
+    def answered(self, connection: Connection) -> End:
         answer = self.answer
         try:
             while answer.last is None:
@@ -106,17 +130,17 @@
 
     def heard(self, connection: Connection, last: Message) -> End:
         fields = last.headers
-        if fields.get(b"x-request-id", self.rid) != self.rid:
+        found = verdict(last, self.rid, self.alone, self.whole)
+        if not belongs(last, self.rid, self.alone):
             connection.close()                  # of another request, come late
-            return self.bare(Outcome.BROKEN)
+            return found, "", None
         if (kept := _KEEP.search(fields.get(b"keep-alive", b""))) is not None:
             # a request must not cross the other side's close
             self.pool.rests(self.address, max(0.1, 0.7 * float(kept[1]) - 0.1))
         seal = fields.get(b"x-seal", b"").decode("latin-1")
-        verdict = of_status(last.status, b"x-not-run" in fields, bool(seal))
-        if verdict is Verdict.ABSENT:
+        if found is Verdict.ABSENT:
             connection.close()
-        return verdict, seal, load(fields.get(b"x-load", b""))
+        return found, seal, load(fields.get(b"x-load", b""))
 
     def bare(self, outcome: Outcome) -> End:
         return _OF[outcome], "", None
--- a/opalwick/post/office/agent.py
+++ b/opalwick/post/office/agent.py
@@ -24,6 +24,7 @@
 
 BODY = 4 << 20      # octets of a call: a configuration of ten thousand routes
 REMEMBER = 0.5  # s between looks whether the directory has changed: what is lost of it is told again anyway
+ANSWERED = 1.0      # s that calls which were read may take yet: callers wait no longer
 LOOK = 0.02         # s between looks whether what rests on this office is elsewhere
 
 
@@ -110,8 +111,9 @@
             lambda c, full: Calling(c, self.limits, self, full),
             lambda: self.limits.clients,
         )
-        for work in (self.save, self.remember, self.beat, self.door.accept, self.door.usher):
+        for work in (self.save, self.remember, self.beat, self.door.usher):
             self.forever(work)
+        accepting = self.forever(self.door.accept)
         self.begin()
         self.stop.wait()
         events.say(207)
@@ -123,5 +125,9 @@
         while not self.role.gone:
             gevent.sleep(LOOK)
             self.role.clock(time.monotonic())
+        accepting.kill()                        # what was not accepted was not read: the caller goes on
+        until = time.monotonic() + ANSWERED
+        while self.door.conversations and time.monotonic() < until:
+            gevent.sleep(LOOK)
         self.ending = True
         self.disk.close()
--- a/opalwick/post/office/views.py
+++ b/opalwick/post/office/views.py
@@ -289,6 +289,8 @@
                     self.offer_on()
                 else:
                     self.canvass_on()
+                    if self.enough(self.newest_view(), self.votes):
+                        self.offer()
         else:
             self.follow()
             self.look_at = now + STEP * self.rank
@@ -441,12 +443,19 @@
         if len(able) + 1 < min(self.copies, len(voters)):
             return
         members = [self.me, *able[:self.copies - 1]]
+        if self.leavers.intersection(members) and self.others_may_vote():
+            return                              # a vote of one that stays is on its way
         self.base = view
         self.offered = View(epoch=self.epoch, primary=self.me, members=members, voters=voters,
                             before=before), conf
         self.state, self.installed = "installing", set()
         self.offer_on()
 
+    def others_may_vote(self) -> bool:
+        """As candidate, for a moment: there are voters that stay and have not answered yet."""
+        waits = self.linked.intersection(self.voters) - self.votes.keys() - self.leavers
+        return bool(waits) and self.now - self.began < BEAT
+
     def offer_on(self) -> None:
         """To those that have not installed it: first the members, so that no view is the newest of a majority
         whose members do not have it; then the witnesses.
--- a/opalwick/protocol/errand.py
+++ b/opalwick/protocol/errand.py
@@ -45,6 +45,10 @@
     def greet(self, connection: Connection) -> None:
         """On a connection that is up, before the request goes out on it: OSError if it must not."""
 
+    def write(self, connection: Connection) -> None:
+        """The whole request; OSError where that fails."""
+        connection.write(self.data, self.until - time.monotonic())
+
     def told(self, end: Any, kept: bool) -> None:
         """Tells the end, once. `kept`: a connection from before broke without a word."""
         raise NotImplementedError
@@ -99,7 +103,7 @@
                 if self.over():
                     raise ConnectionAbortedError
             self.greet(connection)
-            connection.write(self.data, self.until - time.monotonic())
+            self.write(connection)
             self.data = b""
             return None
         except OSError:
--- a/tests/post_helper.py
+++ b/tests/post_helper.py
@@ -11,6 +11,7 @@
 from random import Random
 from typing import Any
 
+from opalwick.post.office import numbers
 from opalwick.post.office.views import Stored, Views
 from opalwick.post.wire_pb2 import Conf, Envelope, Letter
 
@@ -145,6 +146,9 @@
         self.now = when
 
 
+HEARS = {"beat": "beats", "installed": "installs", "resign": "resigned"}   # by word: how the views take it
+
+
 class Offices(Net, Player):
     """Views on a net; the first three of `count` stand in the settings.
 
@@ -165,7 +169,8 @@
         self.lives, self.busy = dict.fromkeys(self.names, 0), dict.fromkeys(self.names, False)
         self.saves = dict[str, list[Any]]()
         self.told = dict[str, Conf]()           # what an office last had committed
-        self.asked = list[tuple[str, int, int]]()       # by call: what, its number, what was in force
+        self.asked = list[tuple[str, int, int, bytes]]()    # by call: what, its number, in force then, content
+        self.confirmed = dict[int, bytes]()     # by number: the one content that was answered 200
         self.answers: list[tuple[str, str, int, int]] = []
         self.contents, self.newest, self.epochs = dict[int, bytes](), -1, dict[int, str]()
         for name in self.names:
@@ -197,13 +202,17 @@
         """`p`: at whoever is the primary."""
         me = self.primary() or "o1" if me == "p" else me
         gen, content = int(text.split()[0]), text.split()[1].encode()
-        self.asked.append(("put", gen, self.newest))
-        self.hears(me, self.lives[me], "put", len(self.asked) - 1,
-                   Conf(gen=gen, said=content).SerializeToString())
+        self.asked.append(("put", gen, self.newest, content))
+        told, newest = Conf(gen=gen, said=content), Conf()
+        if me in self.views:
+            newest = Conf.FromString(self.views[me].newest())
+        if gen > newest.gen:
+            numbers.follow(told, newest)
+        self.hears(me, self.lives[me], "put", len(self.asked) - 1, told.SerializeToString())
 
     def do_read(self, me: str) -> None:
         me = self.primary() or "o1" if me == "p" else me
-        self.asked.append(("read", -1, self.newest))
+        self.asked.append(("read", -1, self.newest, b""))
         self.hears(me, self.lives[me], "read", len(self.asked) - 1)
 
     # ---- what runs
@@ -212,7 +221,7 @@
         if life == self.lives[me] and (v := self.views.get(me)) is not None:
             v.now = self.now
             v.linked = {other for other in self.views if frozenset((me, other)) not in self.cuts} - {me}
-            getattr(v, {"beat": "beats", "installed": "installs"}.get(what, what))(*told)
+            getattr(v, HEARS.get(what, what))(*told)
             self.follow_up(me)
 
     def tick(self, me: str, life: int) -> None:
@@ -223,7 +232,7 @@
     def pass_on(self, me: str, to: str, kind: str, said: Any) -> None:
         assert not (self.views[me].blank and (getattr(said, "granted", False) or getattr(said, "ok", False)))
         if to == me:
-            getattr(self.views[me], {"installed": "installs"}.get(kind, kind))(me, said)
+            getattr(self.views[me], HEARS.get(kind, kind))(me, said)
         else:
             self.carry(me, to, self.hears, to, self.lives[to], kind, me, said)
 
@@ -247,8 +256,13 @@
             self.busy[me], self.saves[me] = True, []
             self.at(self.now + self.draw(self.sync), self.synced, me, self.lives[me], waits)
 
-    def answered(self, me: str, status: int, what: str, gen: int, floor: int) -> None:
+    def answered(self, me: str, status: int, what: str, gen: int, floor: int, content: bytes) -> None:
         has = int(self.told[me].gen) if me in self.told else -1
+        if what == "put" and status == 409:
+            assert self.contents.get(gen, b"") != content, f"{gen} {content!r} is refused again at {me}"
+        elif what == "put" and status == 200 and gen in self.contents:
+            assert self.contents[gen] == self.confirmed.setdefault(gen, content) == content, (
+                f"{gen} is confirmed with two contents")
         if status == 200:
             assert has >= max(gen, floor), f"{what} {gen} at {me}: {has}, though {floor} was in force"
             self.newest = max(self.newest, has)
--- a/tests/test_post_home.py
+++ b/tests/test_post_home.py
@@ -272,7 +272,8 @@
     def serve(sock: Any, _: Any) -> None:
         while data := sock.recv(65536):
             got.append(data)
-            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Seal: s\r\nX-Worker: w1\r\n\r\n")
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Seal: s\r\nX-Worker: w1\r\n"
+                         b"X-Request-Id: 1\r\n\r\n")
 
     server = StreamServer(("127.0.0.1", 0), serve)
     server.start()
--- a/tests/test_post_tables.py
+++ b/tests/test_post_tables.py
@@ -134,17 +134,21 @@
     assert b"X-Want-Worker" not in bare and b"X-Deadline-Ms: 1\r\n" in bare
 
 
-@pytest.mark.parametrize("status, fields, wanted, closed", [
-    (200, {b"x-seal": b"s1", b"x-load": b"3,1,8"}, (Verdict.DONE, "s1", Load(3, 1, 8)), False),
-    (200, {b"x-seal": b"s1", b"x-request-id": b"other"}, (Verdict.BROKEN, "", None), True),
-    (200, {b"x-seal": b"s1", b"x-request-id": b"9c41", b"keep-alive": b"timeout=5"},
+@pytest.mark.parametrize("alone, status, fields, wanted, closed", [
+    (True, 200, {b"x-seal": b"s1", b"x-load": b"3,1,8"}, (Verdict.DONE, "s1", Load(3, 1, 8)), False),
+    (False, 200, {b"x-seal": b"s1", b"x-load": b"3,1,8"}, (Verdict.BROKEN, "", None), True),
+    (True, 200, {b"x-seal": b"s1", b"x-request-id": b"other"}, (Verdict.BROKEN, "", None), True),
+    (False, 200, {b"x-seal": b"s1", b"x-request-id": b"9c41", b"keep-alive": b"timeout=5"},
      (Verdict.DONE, "s1", None), False),
-    (421, {b"x-load": b"0,0,0"}, (Verdict.ABSENT, "", None), True),
-    (503, {b"x-not-run": b""}, (Verdict.FULL, "", None), False)])
-def test_what_is_heard_of_a_worker(status: int, fields: dict, wanted: tuple, closed: bool) -> None:
-    """An answer of another request proves nothing of this one; a connection rests well within its time."""
+    (True, 421, {b"x-load": b"0,0,0"}, (Verdict.ABSENT, "", None), True),
+    (True, 503, {b"x-not-run": b""}, (Verdict.FULL, "", None), False),
+    (False, 503, {b"x-not-run": b""}, (Verdict.BROKEN, "", None), True)])
+def test_what_is_heard_of_a_worker(alone: bool, status: int, fields: dict, wanted: tuple,
+                                   closed: bool) -> None:
+    """An answer of another request proves nothing of this one, and one that names none only where no other
+    was ever asked on its connection; a connection rests well within its time."""
     d, connection, rests = Delivery.__new__(Delivery), SimpleNamespace(closed=False), []
-    d.rid, d.address = b"9c41", ("10.0.0.1", 80)
+    d.rid, d.address, d.alone, d.whole = b"9c41", ("10.0.0.1", 80), alone, True
     d.pool = SimpleNamespace(rests=lambda at, seconds: rests.append(round(seconds, 2)))     # type: ignore[assignment]
     connection.close = lambda: setattr(connection, "closed", True)
     assert d.heard(connection, SimpleNamespace(status=status, headers=fields)) == wanted    # type: ignore[arg-type]
