--- a/opalwick/lab/post/clients.py
+++ b/opalwick/lab/post/clients.py
@@ -328,6 +328,8 @@
         self.bodies: list[bytes] = []
         self.valid: list[int] = []
         self.begun = False
+        self.acks_lost = 0.0  # share of answers that are lost on their way
+        self.acked: list[int] = []
 
     # ---- what is sent
 
@@ -429,6 +431,38 @@
             self.limits[svc] = round(self.limits[svc] * self.draw.uniform(0.9, 1.2), 3)
         self.put(self.make(self.gen), lambda: self.probe(stem))
 
+    def rivals(self) -> None:
+        """Two operators take the same next number, each for a content of its own."""
+        self.gen += self.draw.choice((1, 2))
+        services = [s.name for s in self.world.day.services]
+        before = dict(self.extras)
+        keys = []
+        for _ in range(2):
+            self.count += 1
+            self.extras = before | {f"/x{self.count}/": self.draw.choice(services)}
+            keys.append(self.make(self.gen))
+        # what comes of the routes is known by whoever is acknowledged: none is asked for
+        self.extras = before
+        for key in keys:
+            self.put(key)
+
+    def repeat(self) -> None:
+        """The newest order that was acknowledged, or one of the last few."""
+        if self.acked:
+            self.put(self.draw.choice(self.acked[-3:]))
+
+    def look(self) -> None:
+        """Reads what is in force, wherever it asks."""
+        world, began = self.world, self.world.agenda.now
+        machine = self.draw.choice(world.of("office"))
+
+        def done(status: int, body: bytes, fields: tuple[str, ...]) -> None:
+            if status == 200:
+                keys = [key for key in self.valid if self.bodies[key] == body]
+                world.note("conf_seen", keys[-1] if keys else -1, began, machine.node)
+
+        world.exchange(world, "operator", machine, request(b"GET", "/conf"), done, 1.0)
+
     def stale(self) -> None:
         self.put(self.draw.choice(self.valid))
 
@@ -485,7 +519,13 @@
         world.note("conf_sent", key, machine.node)
 
         def done(status: int, body: bytes, fields: tuple[str, ...]) -> None:
+            if self.acks_lost and status in READ and self.draw.random() < self.acks_lost:
+                status = -1
             if status == 200:
+                if b"superseded" in body:
+                    world.note("conf_superseded", key)
+                else:
+                    self.acked.append(key)
                 world.note("conf_acked", key, machine.node)
                 if acknowledged is not None:
                     acknowledged()
--- a/opalwick/lab/post/faults.py
+++ b/opalwick/lab/post/faults.py
@@ -596,6 +596,28 @@
     return _each(scene, fault, scene.world.operator.change, scene.world.operator.change)
 
 
+@fault
+def same_number(scene: Scene, fault: Fault, draw: random.Random) -> Steps:
+    return _each(scene, fault, scene.world.operator.rivals)
+
+
+@fault
+def orders_again(scene: Scene, fault: Fault, draw: random.Random) -> Steps:
+    return _each(scene, fault, scene.world.operator.repeat)
+
+
+@fault
+def lost_acks(scene: Scene, fault: Fault, draw: random.Random) -> Steps:
+    scene.world.operator.acks_lost = _size(fault)
+    yield
+    scene.world.operator.acks_lost = 0.0
+
+
+@fault
+def reads(scene: Scene, fault: Fault, draw: random.Random) -> Steps:
+    return _each(scene, fault, scene.world.operator.look)
+
+
 @fault
 def stale(scene: Scene, fault: Fault, draw: random.Random) -> Steps:
     return _each(scene, fault, scene.world.operator.stale)
--- a/opalwick/lab/post/judge.py
+++ b/opalwick/lab/post/judge.py
@@ -17,7 +17,8 @@
   copies (id, count)                        at `asking`: disks that have it, where none has its end
   drains (worker), drain_acked (worker, office), gone (worker, whether it crashed)
   conf_sent (key, office), conf_acked (key, office), conf_refused (key, status), conf_read (key; -1
-      other, -2 none)
+      other, -2 none), conf_superseded (key): acknowledged as older than what is in force
+  conf_seen (key, when the reading began, office)       read in the middle of the day
 
 The rules and their excuses are those of the deployments; what cannot be known counts in the system's
 favour.
@@ -34,6 +35,7 @@
 SAID = 0.01  # s that a word of an end is on its way to the depots, and a delivery to its worker
 COPIES = 2  # as `survive.boxes` of all days is 1
 REPAIRED = 13.0  # s without any trouble after which each copy that was lost stands elsewhere
+ALONE = 1.5  # s cut off after which an office has noticed: its links' silence, and an answer on its way
 CALM = 6.0  # s without any trouble after which nothing has a reason to wait
 
 
@@ -137,6 +139,9 @@
         self.conf_acked: dict[int, float] = {}
         self.acks: list[tuple[float, int, str]] = []
         self.conf_refused: dict[int, float] = {}
+        self.refusals: list[tuple[float, int, int]] = []
+        self.superseded: set[int] = set()
+        self.seen: list[tuple[float, int, float, str]] = []
         self.conf_read: tuple[float, int] | None = None
         self.drains: dict[str, list[tuple[float, str]]] = defaultdict(list)
         self.draining: dict[str, float] = {}
@@ -199,6 +204,11 @@
                 self.acks.append((at, f[0], f[1]))
             elif what == "conf_refused":
                 self.conf_refused.setdefault(f[0], at)
+                self.refusals.append((at, f[0], f[1]))
+            elif what == "conf_superseded":
+                self.superseded.add(f[0])
+            elif what == "conf_seen":
+                self.seen.append((at, f[0], f[1], f[2]))
             elif what == "conf_read":
                 self.conf_read = at, f[0]
             elif what == "drains":
@@ -325,6 +335,9 @@
             self.configuration,
             self.steps_back,
             self.read_back,
+            self.numbers,
+            self.seen_old,
+            self.drained_alone,
             self.acknowledged,
             self.cut_off,
             self.recovers,
@@ -638,10 +651,57 @@
                 f"version {self.confs[key]['gen']} is read back, {newest} was acknowledged",
             )
 
+    def numbers(self) -> None:
+        """NUMBER: one content is confirmed under a number, and never refused from then on."""
+        confirmed: dict[int, tuple[int, float]] = {}
+        for key, at in sorted(self.conf_acked.items(), key=lambda item: item[1]):
+            if key in self.superseded or not self.confs[key]["valid"]:
+                continue
+            known, since = confirmed.setdefault(self.confs[key]["gen"], (key, at))
+            if known != key:
+                self.breach("NUMBER", at, str(self.confs[key]["gen"]),
+                            f"a second content is confirmed, the first was at {since:.3f} s")
+        for at, key, status in self.refusals:
+            acked = self.conf_acked.get(key, INF)
+            if acked < at and key not in self.superseded:
+                self.breach("NUMBER", at, str(self.confs[key]["gen"]),
+                            f"refused with {status}, and was acknowledged at {acked:.3f} s")
+
+    def seen_old(self) -> None:
+        """STALE: nobody hands out an older configuration than was acknowledged before it was asked."""
+        for at, key, began, office in self.seen:
+            acked = [self.confs[k]["gen"] for k, t in self.conf_acked.items()
+                     if t < began and self.confs[k]["valid"] and k not in self.superseded]
+            newest = max(acked, default=-1)
+            if key == -1 or self.confs[key]["gen"] < newest:
+                has = "nothing that was sent" if key == -1 else f"version {self.confs[key]['gen']}"
+                self.breach("STALE", at, str(newest), f"{office} hands out {has}, {newest} was acknowledged")
+
+    def drained_alone(self) -> None:
+        """ALONE: no office confirms a drain that has long been cut off from most of the others."""
+        offices = [node for node, role in self.roles.items() if role == "office"]
+        for worker, acks in self.drains.items():
+            for at, office in acks:
+                cut = {other for other in offices if other != office and any(
+                    s.begin < at - ALONE and s.end > at and self.both(s, office, other)
+                    for s in self.spells)}
+                if 2 * (len(offices) - len(cut)) <= len(offices):
+                    why = f"{office} confirms a drain, cut off from {sorted(cut)}"
+                    self.breach("ALONE", at, worker, why)
+
+    @staticmethod
+    def both(spell: Spell, a: str, b: str) -> bool:
+        """Whether it cuts them off both ways."""
+        return spell.kind in ("cut", "alone") and ((a, b) in spell.ways or (b, a) in spell.ways)
+
     def acknowledged(self) -> None:
         """ACKS: with the core settled a valid configuration, and a drain, is acknowledged in time."""
         ack = self.bounds["ack"]
         for key, sent in self.conf_sent.items():
+            gen = self.confs[key]["gen"]
+            rivals = [other for other in self.conf_sent if other != key and self.confs[other]["gen"] == gen]
+            if key in self.conf_refused and any(other not in self.conf_refused for other in rivals):
+                continue  # its number went to another content
             if (
                 self.confs[key]["valid"]
                 and self.conf_acked.get(key, INF) > sent + ack + 0.1
--- a/opalwick/lab/post/kinds.py
+++ b/opalwick/lab/post/kinds.py
@@ -64,6 +64,10 @@
     "poison": Kind("a share SIZE of the messages can never be done", 0.2, (0.05, 0.5), ""),
     "changes": Kind("a new configuration each SIZE seconds", 1.0, (0.4, 2.5), ""),
     "races": Kind("two new configurations at once, to two offices, each SIZE seconds", 1.2, (0.4, 2.5), ""),
+    "same_number": Kind("two contents under one new number at once, each SIZE seconds", 1.2, (0.4, 2.5), ""),
+    "orders_again": Kind("an acknowledged order is sent again each SIZE seconds", 0.6, (0.2, 2.0), ""),
+    "lost_acks": Kind("a share SIZE of the answers to operators gets lost", 0.4, (0.1, 0.7), ""),
+    "reads": Kind("the configuration is read each SIZE seconds", 0.3, (0.1, 1.0), ""),
     "stale": Kind("an older configuration is sent again each SIZE seconds", 0.8, (0.3, 2.0), ""),
     "invalid": Kind("an invalid configuration each SIZE seconds", 0.8, (0.3, 2.0), ""),
     # ---- all at once, right after a configuration was acknowledged
--- a/opalwick/lab/verify/mutants.py
+++ b/opalwick/lab/verify/mutants.py
@@ -219,7 +219,7 @@
     patch(numbers, "match", lambda newest, given: numbers.Match.OTHER)
 
 
-@mutant("takeover", office(Takeover(puts=1, again=1, turns=0), *TWO), "two confirmed")
+@mutant("takeover", office(Takeover(puts=1, again=1, turns=0), *TWO), "forgotten")
 def earlier_numbers_are_forgotten(patch: Patch) -> None:
     patch(numbers, "follow", lambda conf, newest: None)
 
--- a/opalwick/lab/verify/offices.py
+++ b/opalwick/lab/verify/offices.py
@@ -149,7 +149,7 @@
 
 class Offices:
     """Rules: `two texts`, `two primaries`, `stepped back`, `lost`, `stale answer`, `voted unlearned`,
-    `voted twice`, `vote back`, `early word`, `two confirmed`, `refused again`, `left alone`.
+    `voted twice`, `vote back`, `early word`, `two confirmed`, `refused again`, `forgotten`.
     """
 
     def __init__(self, budget: Budget, spares: tuple[str, ...] = ()) -> None:
@@ -535,12 +535,10 @@
         known = dict(self.confirmed).get(number)
         if status == 200 and known is not None and known != text:
             raise Broken("two confirmed", f"{me} confirms {text!r} under {number}, {known!r} was confirmed")
+        if status == 208 and known is not None:
+            raise Broken("forgotten", f"{me} knows nothing of {number}, which was confirmed")
         if status == 409 and known == text:
             raise Broken("refused again", f"{me} refuses {text!r} under {number}, which was confirmed")
-        if status == 200 and known is None and number <= self.newest[0] and (
-            (number, 0), text.encode()
-        ) not in self.contents:
-            return  # superseded before it was ever in force: it alters nothing
         if status == 200 and known is None:
             self.confirmed = (*self.confirmed, (number, text))
 
--- a/opalwick/post/counter/desks.py
+++ b/opalwick/post/counter/desks.py
@@ -8,7 +8,7 @@
 
 import heapq
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
 from opalwick.interface import Category, Effect, Group, ListForm, Phase, Report, Reports, Terms
@@ -73,9 +73,18 @@
         return heapq.heappop(self.timely)[2] if self.timely else self.late.pop()
 
     def clear(self) -> list[Any]:
-        items = [entry[2] for entry in self.timely] + self.late
-        self.timely, self.late = [], []
-        return items
+        return self.sift(lambda item: True)
+
+    def sift(self, out: Callable[[Any], bool]) -> list[Any]:
+        """Takes out those that need not wait here any more; asks once of each."""
+        found = [entry for entry in self.timely if out(entry[2])]
+        late = [item for item in self.late if out(item)]
+        if found or late:
+            gone = {id(item) for item in [*[entry[2] for entry in found], *late]}
+            self.timely = [entry for entry in self.timely if id(entry[2]) not in gone]
+            self.late = [item for item in self.late if id(item) not in gone]
+            heapq.heapify(self.timely)
+        return [entry[2] for entry in found] + late
 
 
 class Desk:
--- a/opalwick/post/counter/rounds.py
+++ b/opalwick/post/counter/rounds.py
@@ -166,6 +166,19 @@
                                         self.seed ^ len(self.desks), self.now)
                 self.wake_at = min(self.wake_at, self.desks[name].wake_at)
                 self.relist(name)
+        self.reroute()
+
+    def reroute(self) -> None:
+        """What waits where its route does not lead any more goes to the service that has it now."""
+        def moved(item: Item) -> bool:
+            return not self.routed(item) or item.route is None or (
+                desk_name(item.route.svc, item.letter.home) != item.svc)
+
+        waiting = [item for desk in self.desks.values() for item in desk.queue.sift(moved)]
+        waiting += [item for shelf in self.shelves.values() for item in shelf.sift(moved)]
+        for item in waiting:
+            item.queued = False
+            self.at(self.now, item)
 
     def listed(self, workers: dict[str, Worker], changed: Iterable[str]) -> None:
         """All workers, and the services whose list has changed."""
--- a/opalwick/post/directory.py
+++ b/opalwick/post/directory.py
@@ -5,11 +5,18 @@
 """
 from __future__ import annotations
 
+from typing import Any
+
 from opalwick.post.wire_pb2 import Conf, News, Node, Worker
 
 
+# that have left and are remembered: words of them that are still on their way are seconds old
+GONE_WORKERS, GONE_NODES = 4096, 512
+
+
 class Directory:
     def __init__(self) -> None:
+        self.gone_workers = self.gone_nodes = 0     # at most so many of those below
         self.workers: dict[str, Worker] = {}
         self.nodes: dict[str, Node] = {}
         self.conf: Conf | None = None
@@ -30,12 +37,14 @@
             if self.newer(worker, known):
                 if known is not None and (known.disputed or worker.zone != known.zone and not worker.gone):
                     worker.disputed = True      # one life stands in one place: it is nowhere for sure
+                self.gone_workers += worker.gone
                 self.workers[worker.id] = worker
                 fresh.workers.append(worker)
         for node in news.nodes:
             before = self.nodes.get(node.node)
             if before is None or (
                     node.life, node.count, node.gone) > (before.life, before.count, before.gone):
+                self.gone_nodes += node.gone
                 self.nodes[node.node] = node
                 fresh.nodes.append(node)
         if news.HasField("conf") and (
@@ -44,6 +53,10 @@
                 news.conf.home.CopyFrom(self.conf.home)     # a policy never goes back, whatever offices lost
             self.conf = news.conf
             fresh.conf.CopyFrom(news.conf)
+        if self.gone_workers > GONE_WORKERS:
+            self.gone_workers = forget(self.workers, GONE_WORKERS)
+        if self.gone_nodes > GONE_NODES:
+            self.gone_nodes = forget(self.nodes, GONE_NODES)
         return fresh
 
     def whole(self) -> News:
@@ -53,5 +66,13 @@
         return news
 
 
+def forget(known: dict[str, Any], most: int) -> int:
+    """The oldest of those that are gone, until half of `most` are left; how many are."""
+    gone = [name for name, one in known.items() if one.gone]
+    for name in gone[:-(most // 2)]:
+        del known[name]
+    return min(len(gone), most // 2)
+
+
 def empty(news: News) -> bool:
     return not (news.whole or news.workers or news.nodes or news.HasField("conf"))
--- a/opalwick/post/home/shelf.py
+++ b/opalwick/post/home/shelf.py
@@ -44,10 +44,7 @@
         """Takes out those that need not wait any more."""
         found = []
         for row in self.rows.values():
-            found += [entry[2] for entry in row.timely if over(entry[2])]
-            found += [item for item in row.late if over(item)]
-            row.timely = [entry for entry in row.timely if not over(entry[2])]
-            row.late = [item for item in row.late if not over(item)]
+            found += row.sift(over)
         self.rows = {rank: row for rank, row in self.rows.items() if len(row)}
         self.given = {p: n for p, n in self.given.items() if any(p == rank[1] for rank in self.rows)}
         return found
--- a/opalwick/post/office/registry.py
+++ b/opalwick/post/office/registry.py
@@ -93,11 +93,15 @@
         """Workers that have fallen silent."""
         self.now = now
         news = News()
+        for id in [id for id in self.heard_at if id not in self.directory.workers]:
+            del self.heard_at[id]               # it was one of too many that have left
+            self.chill_to.pop(id, None)
         for id, worker in list(self.directory.workers.items()):
             age = now - self.heard_at.get(id, now)
             if worker.gone:
                 if age > FORGOTTEN:
-                    del self.directory.workers[id], self.heard_at[id]
+                    del self.directory.workers[id]
+                    self.heard_at.pop(id, None)
                     self.chill_to.pop(id, None)
             elif not worker.silent and age > MISSED * self.beat_s:
                 silent = Worker()
--- a/opalwick/post/office/role.py
+++ b/opalwick/post/office/role.py
@@ -23,7 +23,7 @@
 from opalwick.post.office.duties import Duties
 from opalwick.post.office.notices import Notices, first_call
 from opalwick.post.office.registry import Registry
-from opalwick.post.office.views import CONFLICT, OK, UNABLE, Save, Stored, Views
+from opalwick.post.office.views import CONFLICT, OK, SUPERSEDED, UNABLE, Save, Stored, Views
 from opalwick.post.office.window import Window
 from opalwick.post.settings import Settings
 from opalwick.post.station import Link, Station
@@ -504,6 +504,8 @@
         if status == CONFLICT:
             why = f"gen {number} stands for another configuration: take a higher number"
             call.answer(CONFLICT, json.dumps({"err": why}).encode(), "Content-Type: application/json")
+        elif status == SUPERSEDED:              # the highest number prevails: it alters nothing
+            self.ok(call, json.dumps({"gen": number, "superseded": True}).encode())
         else:
             self.told(call, status, b"")
 
--- a/opalwick/post/office/views.py
+++ b/opalwick/post/office/views.py
@@ -49,9 +49,13 @@
 MOST = 9            # voters: a core of more is judged by those that have just acknowledged something
 
 
-OK, CONFLICT = 200, 409     # statuses of a put: in force or superseded; the number stands for another content
+# statuses of a put: it is in force, or was; the number stands for another content; it is older than what is
+# in force and never was, as far as is remembered, and alters nothing
+OK, CONFLICT, SUPERSEDED = 200, 409, 208
 UNKNOWN, UNABLE = 504, 503  # it may be in force or not; nothing has happened
 
+STATUS = {numbers.Match.SAME: OK, numbers.Match.OTHER: CONFLICT, numbers.Match.UNKNOWN: SUPERSEDED}
+
 Key = tuple[int, int]   # of a configuration: its number, and changes beside it
 
 
@@ -583,7 +587,7 @@
 
     def put(self, call: int, conf: bytes) -> None:
         """Answered with OK once the backups have it. A number that is not newer alters nothing: it is OK
-        again with the content that it stands for, and CONFLICT with another.
+        again with the content that it stands for, CONFLICT with another, else SUPERSEDED.
         """
         if not self.active or len(self.queue) >= FEW or self.short:
             return self.answers.append(Answer(call, UNABLE))
@@ -594,7 +598,7 @@
                 self.write_next()
             return
         found = numbers.match(Conf.FromString(self.newest()), Conf.FromString(conf))
-        status = CONFLICT if found is numbers.Match.OTHER else OK
+        status = STATUS[found]
         if not self.queue:
             return self.read(call, status)
         # what the number stands for is known once the change on its way is in force
--- a/opalwick/post/plan.py
+++ b/opalwick/post/plan.py
@@ -141,10 +141,13 @@
 
     def whole(self) -> list[Role]:
         for key in self.given:
-            if key not in ("build", "roles"):
+            if key not in ("build", "packages", "roles"):
                 self.wrong("", key, "no such field")
         if not isinstance(self.given.get("build"), str) or not self.given["build"].strip():
             self.wrong("", "build", "a command is due")
+        packages = self.given.get("packages", [])
+        if not isinstance(packages, list) or not all(isinstance(p, str) and p.strip() for p in packages):
+            self.wrong("", "packages", "must be a list of names of system packages")
         given = self.given.get("roles")
         if not isinstance(given, dict) or not given:
             self.wrong("", "roles", "no role is there")
--- a/tests/post_helper.py
+++ b/tests/post_helper.py
@@ -169,7 +169,7 @@
         self.lives, self.busy = dict.fromkeys(self.names, 0), dict.fromkeys(self.names, False)
         self.saves = dict[str, list[Any]]()
         self.told = dict[str, Conf]()           # what an office last had committed
-        self.asked = list[tuple[str, int, int, bytes]]()    # by call: what, its number, in force then, content
+        self.asked = list[tuple[str, int, int, bytes]]()    # by call: what, number, in force then, content
         self.confirmed = dict[int, bytes]()     # by number: the one content that was answered 200
         self.answers: list[tuple[str, str, int, int]] = []
         self.contents, self.newest, self.epochs = dict[int, bytes](), -1, dict[int, str]()
--- a/tests/test_lab_post_mutants.py
+++ b/tests/test_lab_post_mutants.py
@@ -1,4 +1,4 @@
-"""The judge of the post's lab is trusted as far as it has caught something: thirteen faults planted into the
+"""The judge of the post's lab is trusted as far as it has caught something: seventeen faults planted into the
 roles, each found within a handful of seeds on a day that brings it about, and nothing without the fault."""
 
 from __future__ import annotations
@@ -18,9 +18,12 @@
 from opalwick.post.depot.moving import Moving
 from opalwick.post.depot.role import Depot
 from opalwick.post.directory import Directory
+from opalwick.post.office import numbers
+from opalwick.post.office.notices import Notices
 from opalwick.post.office.registry import Registry
+from opalwick.post.office.role import Office
 from opalwick.post.office.views import Views
-from opalwick.post.wire_pb2 import News, Told, Written
+from opalwick.post.wire_pb2 import Conf, News, Told, Written
 
 Patch = Callable[[pytest.MonkeyPatch], None]
 
@@ -247,6 +250,40 @@
             break
     return found
 
+ORDERS = (fault("changes", 1.0, 8.0, size=0.7) + fault("orders_again", 1.0, 9.0, size=0.4)
+          + fault("same_number", 1.0, 8.0, size=0.8) + fault("reads", 1.0, 9.0, size=0.1))
+
+
+@mutant("length = \"10 s\"\n" + ORDERS, "NUMBER")
+def another_content_is_confirmed(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(numbers, "match", lambda newest, given: numbers.Match.SAME)
+
+
+@mutant("length = \"10 s\"\n" + ORDERS, "NUMBER")
+def a_repeated_order_is_refused(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(numbers, "match", lambda newest, given: numbers.Match.OTHER)
+
+
+@mutant("length = \"12 s\"\n" + ORDERS + fault("alone", 2.0, 8.0, of=["office-0"]), "STALE")
+def reads_answered_by_whoever_is_asked(patch: pytest.MonkeyPatch) -> None:
+    at_primary = Office.at_primary
+
+    def here(self: Office, what: str, body: bytes, answer: Any) -> None:
+        if what == "get" and self.directory.conf is not None and self.last_conf:
+            return answer(200, Conf.FromString(self.last_conf).said)
+        at_primary(self, what, body, answer)
+
+    patch.setattr(Office, "at_primary", here)
+
+
+@mutant("length = \"14 s\"\n" + fault("release", 3.0, 1.0, part=1.0, size=0.5)
+        + fault("alone", 1.0, 11.0, of=["office-0"]), "ALONE")
+def a_drain_confirmed_by_one_alone(patch: pytest.MonkeyPatch) -> None:
+    def tell(self: Notices, now: float, news: Any, links: Any, answer: Any) -> None:
+        answer(True)
+
+    patch.setattr(Notices, "tell", tell)
+
 
 @pytest.mark.parametrize("name", sorted(MUTANTS))
 def test_a_planted_fault_is_caught(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_post_numbers.py
+++ b/tests/test_post_numbers.py
@@ -1,4 +1,4 @@
-"""One number, one content: through repeats, takeovers and thousands of changes; and how large what is kept gets."""
+"""One number, one content: through repeats, takeovers and thousands of changes; how large the state gets."""
 from __future__ import annotations
 
 import json
@@ -7,8 +7,9 @@
 import pytest
 from post_helper import Offices
 
+from opalwick.post.directory import GONE_NODES, GONE_WORKERS, Directory
 from opalwick.post.office.numbers import HISTORY, Match, digest, follow, match
-from opalwick.post.wire_pb2 import Conf
+from opalwick.post.wire_pb2 import Conf, News, Node, Worker
 
 
 def test_blanks_and_the_order_of_fields_make_no_other_content() -> None:
@@ -79,6 +80,18 @@
     assert sizes[1] < 22 * HISTORY + 200 and sizes[0] > 100
 
 
+def test_what_is_remembered_of_those_that_left_is_bounded() -> None:
+    """A release an hour for years; the newest stay, so that a late beat of them is known for what it is."""
+    directory = Directory()
+    for n in range(3 * GONE_WORKERS):
+        for gone in (False, True):
+            directory.merge(News(workers=[Worker(id=f"w{n}", calls=1, gone=gone)],
+                                 nodes=[Node(node=f"n{n}", life=1, gone=gone)]))
+    assert len(directory.workers) <= GONE_WORKERS and len(directory.nodes) <= GONE_NODES
+    late = directory.merge(News(workers=[Worker(id=f"w{3 * GONE_WORKERS - 1}", calls=9)]))
+    assert not late.workers and directory.whole().ByteSize() < 100_000
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_an_office_that_ends_leaves_nothing_alone(seed: int) -> None:
     """The primary hands over at once, a backup's place is filled; its disk may be gone with it, and a further
