--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(PYTHON) -m opalwick lab post demo --clock sockets --out found/demo-post
 
 test: build
-	$(PYTHON) -m pytest -q
+	$(PYTHON) -m pytest -q -n 4
 
 lint: build
 	$(PYTHON) -m ruff check .
