--- a/bench/grown.py
+++ b/bench/grown.py
@@ -32,9 +32,10 @@
 """
 
 
-def measure(counters: int) -> dict[str, Any]:
+def measure(counters: int, each_s: float = EACH) -> dict[str, Any]:
+    """`each_s`: messages a second for each counter."""
     depots = max(8, min(18, counters // 3))
-    day = parse(DAY.format(span=SPAN, counters=counters, depots=depots, rate=EACH * counters), "day")
+    day = parse(DAY.format(span=SPAN, counters=counters, depots=depots, rate=each_s * counters), "day")
     day.services = [Service(name="plain", workers=max(4, counters // 4), slots=6)]
     words, octets, spent, base = Counter[str](), Counter[str](), Counter[str](), 1.0
     say, guarded = End.say, Proc.guarded
