--- a/opalwick/post/depot/agent.py
+++ b/opalwick/post/depot/agent.py
@@ -1,4 +1,5 @@
 """A depot as a process: its disk in a thread, its links, its time. What it does is `role.py`'s."""
+
 from __future__ import annotations
 
 import os
@@ -20,8 +21,8 @@
 from opalwick.post.settings import Settings
 from opalwick.post.wire_pb2 import Letter
 
-FAILED = 0.2        # s until a batch that the disk refused is tried again
-GATHER = 0.002      # s that a batch waits for more: two syncs' worth of a usual disk, a fortieth of an aim
+FAILED = 0.2  # s until a batch that the disk refused is tried again
+GATHER = 0.002  # s that a batch waits for more: two syncs' worth of a usual disk, a fortieth of an aim
 
 
 class DepotShell(Shell):
@@ -31,11 +32,11 @@
         self.disk = opened(settings.datadir)
         self.unix = time.time() - time.monotonic()
         super().__init__(Depot(settings, int(time.time() * 1000), time.monotonic(), self.disk.id), process)
-        self.threads = ThreadPool(1)                # a disk that stalls must not stop the pulses
+        self.threads = ThreadPool(1)  # a disk that stalls must not stop the pulses
         self.queued = Event()
         load(self.role, self.disk, self.unix)
 
-    def look(self, work: Any) -> Any:   # type: ignore[override]
+    def look(self, work: Any) -> Any:  # type: ignore[override]
         """In the disk's thread."""
         return self.threads.apply(work, (self.disk,))
 
@@ -55,7 +56,7 @@
                 try:
                     found = self.threads.apply(on_disk, (self.disk, self.unix, writes, fetches))
                     break
-                except sqlite3.Error as problem:    # nothing of it is told, and nothing goes past it
+                except sqlite3.Error as problem:  # nothing of it is told, and nothing goes past it
                     events.say(303, problem=repr(problem), writes=len(writes))
                     gevent.sleep(FAILED)
             self.role.clock(time.monotonic())
@@ -100,8 +101,16 @@
             k.loaded_dead(row.mid, len(row.letter))
         else:
             letter = Letter.FromString(row.letter)
-            k.loaded(row.mid, tuple(row.holders.split() or letter.holders), row.due - unix, row.until - unix,
-                     row.fails, row.lost, len(row.letter), letter.home)
+            k.loaded(
+                row.mid,
+                tuple(row.holders.split() or letter.holders),
+                row.due - unix,
+                row.until - unix,
+                row.fails,
+                row.lost,
+                len(row.letter),
+                letter.home,
+            )
     events.say(301, disk=disk.id, messages=len(k.entries), ends=len(k.ends), rotten=disk.rotten)
 
 
--- a/opalwick/post/depot/disk.py
+++ b/opalwick/post/depot/disk.py
@@ -6,6 +6,7 @@
 What has rotten since is told by sums of our own on each message and each end: such a one counts as lost, and
 the depot gets it anew from the others. A file that is no database any more is set aside: its disk is lost.
 """
+
 from __future__ import annotations
 
 import os
@@ -29,25 +30,26 @@
 
 class Row(NamedTuple):
     """Of the table `letters`; times are unix seconds by this machine's clock."""
+
     mid: str
     letter: bytes
     due: float
     until: float
     fails: int
     lost: int
-    holders: str        # with blanks between, where they are not those that the letter names
+    holders: str  # with blanks between, where they are not those that the letter names
 
 
 class Disk:
     def __init__(self, folder: str) -> None:
         os.makedirs(folder, exist_ok=True)
         self.path = os.path.join(folder, "depot.sqlite3")
-        self.rotten = 0                             # messages and ends that were not what was written
+        self.rotten = 0  # messages and ends that were not what was written
         # 500 pages, 2 MB: some 20 ms of a slow disk, a quarter of an aim; 4 MB kept in memory
         self.db = database(self.path, 500, "cache_size = -4096")
         with closed_if_it_fails(self.db):
             self.db.executescript(_TABLES)
-            for table in ("letters", "ends"):   # without a sum from before: it is taken as it is
+            for table in ("letters", "ends"):  # without a sum from before: it is taken as it is
                 add_columns(self.db, table, holders="text not null default ''", sum="integer")
             self.id, self.life = self.started()
             self.purge()
@@ -68,11 +70,17 @@
         """At a start, before all else is read: what has rotten is lost, and let go. A message whose end has
         rotten goes with it, or it would begin anew.
         """
-        bad = [mid for mid, letter, known in self.db.execute("select mid, letter, sum from letters")
-               if known is not None and known != sum_of(mid, letter)]
+        bad = [
+            mid
+            for mid, letter, known in self.db.execute("select mid, letter, sum from letters")
+            if known is not None and known != sum_of(mid, letter)
+        ]
         ends = self.db.execute("select mid, complete, seal, sum from ends")
-        bad += [mid for mid, complete, seal, known in ends
-                if known is not None and known != sum_of(mid, complete, seal)]
+        bad += [
+            mid
+            for mid, complete, seal, known in ends
+            if known is not None and known != sum_of(mid, complete, seal)
+        ]
         self.rotten += len(bad)
         if bad:
             self.commit([("forget", (mid,)) for mid in bad])
@@ -116,19 +124,22 @@
                         (*fields, sum_of(*fields[:2])),
                     )
                 elif kind == "end":
-                    run("insert or ignore into ends (mid, complete, seal, until, holders, sum)"
-                        " values (?, ?, ?, ?, ?, ?)", (*fields, sum_of(*fields[:3])))
-                    if fields[1]:               # of a dead one the octets may still be asked for
+                    run(
+                        "insert or ignore into ends (mid, complete, seal, until, holders, sum)"
+                        " values (?, ?, ?, ?, ?, ?)",
+                        (*fields, sum_of(*fields[:3])),
+                    )
+                    if fields[1]:  # of a dead one the octets may still be asked for
                         run("delete from letters where mid = ?", fields[:1])
-                elif kind == "tried":           # mid, due, fails, lost
+                elif kind == "tried":  # mid, due, fails, lost
                     run("update letters set due = ?2, fails = ?3, lost = ?4 where mid = ?1", fields)
-                elif kind == "holders":         # mid, names with blanks between
+                elif kind == "holders":  # mid, names with blanks between
                     run("update letters set holders = ?2 where mid = ?1", fields)
                 elif kind == "drop":
                     run("delete from letters where mid = ?", fields)
-                elif kind == "audit":           # window, home, copies or runs, country
+                elif kind == "audit":  # window, home, copies or runs, country
                     audit.note(self.db, fields)
-                elif kind == "seal":            # number and changes of a configuration
+                elif kind == "seal":  # number and changes of a configuration
                     run("insert or replace into facts values ('seal', ?)", (f"{fields[0]} {fields[1]}",))
                 elif kind == "unseal":
                     run("delete from facts where name = 'seal'")
--- a/opalwick/post/depot/keeping.py
+++ b/opalwick/post/depot/keeping.py
@@ -7,6 +7,7 @@
 the acting depot among its holders assigns it to. A counter that no depot in touch has heard for `lapse` has
 none any more; it stops by itself `margin` sooner (`counter/rounds.py`).
 """
+
 from __future__ import annotations
 
 import heapq
@@ -37,38 +38,61 @@
     Tried,
 )
 
-LAPSE = 2.0         # s: a counter unheard for so long delivers nothing any more; eight pulses
-DEAF = 0.5          # s: of a counter unheard for two pulses other depots are asked whether they hear it
-ASKED = 0.75        # s that they have been asked before it lapses: a pulse each way, and one more
-MARGIN = 0.5        # s that a counter stops sooner: two pulses on the way, and their age
-AWAY = 1.2          # s that the depot which acts may be unheard until the next holder does
-SETTLE = 1.5        # s after its start that a depot waits for what others know: the counters dial within 0.8
-LEAD = 0.05         # s that a message is assigned before it is due: a trip and a sync
-STILL = 0.5         # s between two ticks after which this process stood still: ten times their distance
-BATCH = 500         # names in one word between depots
-AGAIN = 0.6         # s until an assignment that was not acknowledged is said again, to the same counter
-STEP = 200          # messages assigned in one step, so that others get their turn
+LAPSE = 2.0  # s: a counter unheard for so long delivers nothing any more; eight pulses
+DEAF = 0.5  # s: of a counter unheard for two pulses other depots are asked whether they hear it
+ASKED = 0.75  # s that they have been asked before it lapses: a pulse each way, and one more
+MARGIN = 0.5  # s that a counter stops sooner: two pulses on the way, and their age
+AWAY = 1.2  # s that the depot which acts may be unheard until the next holder does
+SETTLE = 1.5  # s after its start that a depot waits for what others know: the counters dial within 0.8
+LEAD = 0.05  # s that a message is assigned before it is due: a trip and a sync
+STILL = 0.5  # s between two ticks after which this process stood still: ten times their distance
+BATCH = 500  # names in one word between depots
+AGAIN = 0.6  # s until an assignment that was not acknowledged is said again, to the same counter
+STEP = 200  # messages assigned in one step, so that others get their turn
 
 UNKNOWN, PENDING, COMPLETE, DEAD, UNSURE = range(5)
 
 
 class Entry:
     """A message that has not ended. Times are this depot's clock."""
-    __slots__ = ("mid", "holders", "due", "until", "claim", "taken", "owner", "fails", "lost", "asked_at",
-                 "size", "home")
 
-    def __init__(self, mid: str, holders: tuple[str, ...], due: float, until: float, fails: int = 0,
-                 lost: int = 0, size: int = 0, home: str = "") -> None:
+    __slots__ = (
+        "mid",
+        "holders",
+        "due",
+        "until",
+        "claim",
+        "taken",
+        "owner",
+        "fails",
+        "lost",
+        "asked_at",
+        "size",
+        "home",
+    )
+
+    def __init__(
+        self,
+        mid: str,
+        holders: tuple[str, ...],
+        due: float,
+        until: float,
+        fails: int = 0,
+        lost: int = 0,
+        size: int = 0,
+        home: str = "",
+    ) -> None:
         """`size`: octets on the disk. `home`: the country that it must not leave."""
         self.size, self.home = size, home
         self.mid, self.holders, self.due, self.until = mid, holders, due, until
         self.claim, self.owner, self.fails, self.lost = 0, "", fails, lost
-        self.taken = 0              # who has a number under this lost it by its silence
-        self.asked_at = 0.0         # when it was assigned to its owner, which has not said that it has it
+        self.taken = 0  # who has a number under this lost it by its silence
+        self.asked_at = 0.0  # when it was assigned to its owner, which has not said that it has it
 
 
 class Write(NamedTuple):
     """`then`: words for nodes, each once this is synced."""
+
     kind: str
     fields: tuple[Any, ...]
     then: tuple[tuple[str, str, Any], ...] = ()
@@ -82,12 +106,14 @@
 
 class Fetch(NamedTuple):
     """The message's octets from the disk, to be handed to `fetched` with this reason."""
+
     mid: str
     why: tuple[Any, ...]
 
 
 class Counter:
     """A counter as this depot sees it."""
+
     __slots__ = ("node", "life", "zone", "heard_at", "linked", "ready", "leaving", "given")
 
     def __init__(self, node: str, life: int, zone: str, now: float) -> None:
@@ -96,41 +122,49 @@
 
 
 class Keeping:
-    def __init__(self, node: str, zone: str, now: float, state_s: float, room: float = math.inf,
-                 copies: int = 2, spread: bool = True) -> None:
+    def __init__(
+        self,
+        node: str,
+        zone: str,
+        now: float,
+        state_s: float,
+        room: float = math.inf,
+        copies: int = 2,
+        spread: bool = True,
+    ) -> None:
         """`state_s`: for how long an end is told after it. `room`: octets of messages that may be kept.
         `copies`: depots that keep a message; `spread`: in different zones.
         """
         self.node, self.zone, self.now, self.state_s = node, zone, now, state_s
         self.started = self.ticked = now
-        self.waited = False                         # with judging, as it had stood still
+        self.waited = False  # with judging, as it had stood still
         self.entries: dict[str, Entry] = {}
         # complete, seal, kept until, who kept the message
         self.ends: dict[str, tuple[bool, str, float, tuple[str, ...]]] = {}
         self.owned: dict[str, set[str]] = {}
         self.counters: dict[str, Counter] = {}
-        self.asked: list[tuple[float, str]] = []    # when to look whether an assignment was acknowledged
-        self.peers: dict[str, float] = {}           # depots that are linked: when heard last
+        self.asked: list[tuple[float, str]] = []  # when to look whether an assignment was acknowledged
+        self.peers: dict[str, float] = {}  # depots that are linked: when heard last
         self.peers_settled: dict[str, bool] = {}
-        self.peers_hear: dict[str, dict[str, float]] = {}       # depot: counter process: heard at
-        self.peers_echo: dict[str, float] = {}      # depot: the newest of this one's times that it has heard
-        self.checks: dict[str, tuple[float, Mine]] = {}     # counter: since when it waits to be told, of what
-        self.peers_ask: dict[str, list[str]] = {}   # depot: counter processes that it does not hear
-        self.deaf: dict[str, float] = {}            # owners that are not heard here: asked for since
+        self.peers_hear: dict[str, dict[str, float]] = {}  # depot: counter process: heard at
+        self.peers_echo: dict[str, float] = {}  # depot: the newest of this one's times that it has heard
+        self.checks: dict[str, tuple[float, Mine]] = {}  # counter: since when it waits to be told, of what
+        self.peers_ask: dict[str, list[str]] = {}  # depot: counter processes that it does not hear
+        self.deaf: dict[str, float] = {}  # owners that are not heard here: asked for since
         self.waiting: list[tuple[float, str]] = []  # due, without an owner; may hold some that have one again
         self.expiry: list[tuple[float, str]] = []
         self.expected: set[str] | None = None  # counters and depots that are there, once an office has told
-        self.reported = set[str]()                  # counters that said what they deliver, since the start
-        self.settled, self.awaits = False, set[str]()           # depots whose answer to `have` is awaited
+        self.reported = set[str]()  # counters that said what they deliver, since the start
+        self.settled, self.awaits = False, set[str]()  # depots whose answer to `have` is awaited
         self.leaving = False
         self.writes: list[Write] = []
         self.sends: list[Send] = []
         self.fetches: list[Fetch] = []
         self.unsynced = set[str]()  # ends that are not on the disk yet: nobody is told of them
-        self.dead: dict[str, int] = {}              # octets of dead messages
-        self.room, self.held = room, 0              # octets
-        self.policy: Policy | None = None           # where messages with a home may be
-        self.seal = Seal()                          # once nothing is to be kept here any more
+        self.dead: dict[str, int] = {}  # octets of dead messages
+        self.room, self.held = room, 0  # octets
+        self.policy: Policy | None = None  # where messages with a home may be
+        self.seal = Seal()  # once nothing is to be kept here any more
         self.moving = Moving(self, copies, spread)
         self.figures = {"kept": 0, "ended": 0, "assigned": 0, "lapsed": 0, "handed": 0, "refused": 0}
 
@@ -145,13 +179,21 @@
     # ---- from the disk, at the start
 
     def loaded(
-        self, mid: str, holders: tuple[str, ...], due: float, until: float, fails: int, lost: int, size: int,
+        self,
+        mid: str,
+        holders: tuple[str, ...],
+        due: float,
+        until: float,
+        fails: int,
+        lost: int,
+        size: int,
         home: str = "",
     ) -> None:
         self.add(Entry(mid, holders, due, until, fails, lost, size, home))
 
-    def loaded_end(self, mid: str, complete: bool, seal: str, until: float,
-                   holders: tuple[str, ...] = ()) -> None:
+    def loaded_end(
+        self, mid: str, complete: bool, seal: str, until: float, holders: tuple[str, ...] = ()
+    ) -> None:
         self.ends[mid] = complete, seal, until, holders
         heapq.heappush(self.expiry, (until, mid))
 
@@ -184,7 +226,7 @@
     def counter_up(self, node: str, life: int, zone: str) -> None:
         known = self.counters.get(node)
         if known is not None and known.life > life:
-            return                              # a link of a process before it
+            return  # a link of a process before it
         if known is None or known.life < life:
             # a process is started again only after the one before has ended
             if known is not None:
@@ -210,8 +252,11 @@
 
     def hears(self, node: str) -> dict[str, float]:
         """For that depot: of counters' processes that it does not hear, how long ago each was heard."""
-        return {who: self.now - at for who in self.peers_ask.get(node, ())
-                if self.now - (at := self.heard_at(who)) < 10.0}
+        return {
+            who: self.now - at
+            for who in self.peers_ask.get(node, ())
+            if self.now - (at := self.heard_at(who)) < 10.0
+        }
 
     def heard_at(self, who: str) -> float:
         node, _, life = who.rpartition("/")
@@ -221,8 +266,11 @@
     def alive(self, who: str) -> bool:
         if self.now - self.heard_at(who) < LAPSE:
             return True
-        return any(self.now - at < LAPSE for peer, hears in self.peers_hear.items()
-                   if peer in self.peers and (at := hears.get(who)) is not None)
+        return any(
+            self.now - at < LAPSE
+            for peer, hears in self.peers_hear.items()
+            if peer in self.peers and (at := hears.get(who)) is not None
+        )
 
     def lapsed(self, who: str, silent: bool = False) -> None:
         """`silent`: it may live, and another depot may hear it again that does not know yet. So its number is
@@ -237,8 +285,13 @@
             heapq.heappush(self.waiting, (entry.due, mid))
             if silent:
                 entry.claim = entry.taken = entry.claim + 1
-                word = Park(mid=mid, claim=entry.claim, due=max(0.0, entry.due - self.now), fails=entry.fails,
-                            lost=entry.lost)
+                word = Park(
+                    mid=mid,
+                    claim=entry.claim,
+                    due=max(0.0, entry.due - self.now),
+                    fails=entry.fails,
+                    lost=entry.lost,
+                )
                 self.sends += [Send(node, "park", word) for node in entry.holders if node in self.peers]
 
     # ---- words of counters
@@ -315,7 +368,7 @@
         if entry is not None and complete:
             self.held -= entry.size
         elif entry is not None:
-            self.dead[mid] = entry.size         # its octets may still be asked for
+            self.dead[mid] = entry.size  # its octets may still be asked for
         holders = entry.holders if entry is not None else ()
         self.ends[mid] = complete, seal, until, holders
         self.unsynced.add(mid)
@@ -329,7 +382,7 @@
             if write.kind == "end":
                 self.unsynced.discard(write.fields[0])
             elif write.kind == "seal":
-                self.seal.synced(write.fields)      # type: ignore[arg-type]
+                self.seal.synced(write.fields)  # type: ignore[arg-type]
 
     def seals(self, key: tuple[int, int]) -> None:
         """Nothing is left here, and nothing comes any more; told once that is on the disk."""
@@ -354,8 +407,11 @@
             if word.claim < entry.claim or word.claim == entry.claim and entry.owner:
                 return
             entry.taken = word.claim
-        if entry is None or word.claim < entry.claim and (
-                counter is None or entry.asked_at or entry.owner != owner(node, counter.life)):
+        if (
+            entry is None
+            or word.claim < entry.claim
+            and (counter is None or entry.asked_at or entry.owner != owner(node, counter.life))
+        ):
             return
         entry.due, entry.claim = self.now + word.due, max(entry.claim, word.claim)
         entry.fails, entry.lost = max(entry.fails, word.fails), max(entry.lost, word.lost)
@@ -388,8 +444,11 @@
         its word of that comes before its echo.
         """
         at, word = self.checks[node]
-        if word.mids and any(self.peers_echo.get(peer, -1e9) <= at
-                             for peer, heard_at in self.peers.items() if self.now - heard_at < AWAY):
+        if word.mids and any(
+            self.peers_echo.get(peer, -1e9) <= at
+            for peer, heard_at in self.peers.items()
+            if self.now - heard_at < AWAY
+        ):
             return
         del self.checks[node]
         gone = self.claimed(node, word)
@@ -402,11 +461,12 @@
         for mid, claim in zip(word.mids, word.claims):
             entry = self.entries.get(mid)
             if entry is None:
-                if mid in self.ends:            # it has not heard that it ended
+                if mid in self.ends:  # it has not heard that it ended
                     complete, seal, *_ = self.ends[mid]
                     self.sends.append(Send(node, "end", End(mid=mid, complete=complete, seal=seal)))
             elif claim >= entry.taken and (
-                    entry.owner in ("", who) or (-claim, who) < (-entry.claim, entry.owner)):
+                entry.owner in ("", who) or (-claim, who) < (-entry.claim, entry.owner)
+            ):
                 if entry.owner not in ("", who):
                     self.tell_gone(entry.owner, mid)
                 entry.claim = max(entry.claim, claim)
@@ -431,7 +491,7 @@
         entry, counter = self.entries.get(word.mid), self.counters.get(node)
         if entry is None or counter is None or entry.owner != owner(node, counter.life):
             return
-        if word.claim == entry.claim or not entry.asked_at:     # else it is of an assignment before this one
+        if word.claim == entry.claim or not entry.asked_at:  # else it is of an assignment before this one
             entry.due = max(entry.due, self.now + 0.2)
             self.own(entry, "")
 
@@ -480,7 +540,7 @@
         self.awaits.add(node)
         pending = sorted(mid for mid, entry in self.entries.items() if node in entry.holders)
         for at in range(0, max(1, len(pending)), BATCH):
-            part = pending[at:at + BATCH]
+            part = pending[at : at + BATCH]
             self.sends.append(Send(node, "have", Have(pending=part, last=at + BATCH >= len(pending))))
 
     def depot_down(self, node: str) -> None:
@@ -504,11 +564,17 @@
 
     def have(self, node: str, word: Have) -> None:
         """What another depot keeps as pending that should be here as well."""
-        ends = [End(mid=mid, complete=e[0], seal=e[1]) for mid in word.pending
-                if (e := self.ends.get(mid)) is not None]
+        ends = [
+            End(mid=mid, complete=e[0], seal=e[1])
+            for mid in word.pending
+            if (e := self.ends.get(mid)) is not None
+        ]
         lack = [mid for mid in word.pending if mid not in self.ends and mid not in self.entries]
-        drop = [mid for mid in word.pending if (entry := self.entries.get(mid)) is not None
-                and node not in entry.holders]
+        drop = [
+            mid
+            for mid in word.pending
+            if (entry := self.entries.get(mid)) is not None and node not in entry.holders
+        ]
         self.sends.append(Send(node, "differ", Differ(ends=ends, lack=lack, last=word.last, drop=drop)))
 
     def differ(self, node: str, word: Differ) -> None:
@@ -552,18 +618,31 @@
             elif word.answer and (self.seal.closed or self.held + letter.ByteSize() > self.room):
                 self.send(node, "kept", Kept(mid=mid, refused=True))
             elif self.seal.written is not None:
-                continue                            # nothing rests on this disk any more
+                continue  # nothing rests on this disk any more
             else:
-                entry = Entry(mid, tuple(letter.holders), self.now + letter.due, self.now + letter.until,
-                              letter.fails, letter.lost, letter.ByteSize(), letter.home)
+                entry = Entry(
+                    mid,
+                    tuple(letter.holders),
+                    self.now + letter.due,
+                    self.now + letter.until,
+                    letter.fails,
+                    letter.lost,
+                    letter.ByteSize(),
+                    letter.home,
+                )
                 entry.claim = letter.claim
                 if who:
                     entry.owner = who
                     self.owned.setdefault(who, set()).add(mid)
                 self.add(entry)
                 self.figures["handed"] += 1
-                self.writes.append(Write("keep", (mid, letter.SerializeToString(), entry.due, entry.until,
-                                                  letter.fails, letter.lost), then))
+                self.writes.append(
+                    Write(
+                        "keep",
+                        (mid, letter.SerializeToString(), entry.due, entry.until, letter.fails, letter.lost),
+                        then,
+                    )
+                )
                 self.noted(entry, "copies", self.country(self.zone))
 
     # ---- time
@@ -575,7 +654,7 @@
                 return True
             if self.now - self.peers.get(holder, -1e9) < AWAY and self.peers_settled.get(holder, False):
                 return False
-        return True                             # it is here, though none of its holders is
+        return True  # it is here, though none of its holders is
 
     def tick(self) -> None:
         # this process stood still: who was not heard meanwhile may well have spoken, and its words lie here.
@@ -627,7 +706,7 @@
         later: list[tuple[float, str]] = []
         left = STEP
         takers: list[Counter] | None = None
-        homely = dict[str, list[Counter]]()         # by country
+        homely = dict[str, list[Counter]]()  # by country
         while self.waiting and left and self.waiting[0][0] <= self.now + LEAD:
             due, mid = heapq.heappop(self.waiting)
             entry = self.entries.get(mid)
@@ -642,7 +721,7 @@
             if entry.home:
                 if entry.home not in homely:
                     homely[entry.home] = self.takers(entry.home)
-                if not (among := homely[entry.home]):       # it waits here, and holds up nobody
+                if not (among := homely[entry.home]):  # it waits here, and holds up nobody
                     later.append((self.now + 0.25, mid))
                     continue
             elif not (among := takers):
@@ -670,16 +749,22 @@
 
     def takers(self, home: str = "") -> list[Counter]:
         """Counters that may be assigned something: near ones, where there are any."""
-        able = [c for c in self.counters.values()
-                if c.linked and c.ready and not c.leaving and self.now - c.heard_at < 1.0
-                and (not home or self.country(c.zone) == home)]
+        able = [
+            c
+            for c in self.counters.values()
+            if c.linked
+            and c.ready
+            and not c.leaving
+            and self.now - c.heard_at < 1.0
+            and (not home or self.country(c.zone) == home)
+        ]
         return [c for c in able if c.zone == self.zone] or able
 
     def fetched(self, mid: str, why: tuple[Any, ...], letter: Letter | None) -> None:
         """What the disk had; None: it has ended meanwhile."""
         entry = self.entries.get(mid)
         if why[0] == "dead" and letter is not None and mid in self.ends:
-            for target in why[1]:               # its octets, and that it has ended, in that order
+            for target in why[1]:  # its octets, and that it has ended, in that order
                 self.send(target, "hand", Hand(letters=[letter]))
             return self.moving.say_end(mid, why[1])
         if entry is None or letter is None:
@@ -697,7 +782,4 @@
         elif why[0] == "move":
             del letter.holders[:]
             letter.holders.extend(why[2])
-            self.sends.append(Send(why[1], "hand", Hand(letters=[letter], answer=True,
-                                                         owners=[entry.owner])))
-
-
+            self.sends.append(Send(why[1], "hand", Hand(letters=[letter], answer=True, owners=[entry.owner])))
--- a/opalwick/post/depot/moving.py
+++ b/opalwick/post/depot/moving.py
@@ -5,6 +5,7 @@
 message learn who does from now on, and one that is not named drops its copy. Until that, more copies stand
 than are owed, never fewer.
 """
+
 from __future__ import annotations
 
 import zlib
@@ -16,27 +17,27 @@
 if TYPE_CHECKING:
     from opalwick.post.depot.keeping import Entry, Keeping
 
-AT_ONCE = 64        # messages on the way at once: some hundred kilobytes, a tenth of a second of a disk
-AGAIN = 2.0         # s until a move that nobody answered is tried again, perhaps elsewhere
+AT_ONCE = 64  # messages on the way at once: some hundred kilobytes, a tenth of a second of a disk
+AGAIN = 2.0  # s until a move that nobody answered is tried again, perhaps elsewhere
 REPAIR = 8.0  # s that a depot is away until what it keeps is copied anew: over twice its slowest restart
 # s unheard, where one has come that was never here: it is taken to be in that one's place, and a further loss
 # may follow once the new one has had its time
 REPLACED = 1.2
-LOOK = 0.5          # s between looks for what must move
+LOOK = 0.5  # s between looks for what must move
 
 
 class Moving:
     def __init__(self, keeping: Keeping, copies: int, spread: bool) -> None:
         self.k, self.copies, self.spread = keeping, copies, spread
-        self.retiring = set[str]()              # depots that are to be taken away; may be this one
-        self.zones: dict[str, str] = {}         # of depots
+        self.retiring = set[str]()  # depots that are to be taken away; may be this one
+        self.zones: dict[str, str] = {}  # of depots
         self.away_since: dict[str, float] = {}  # depots that were here and are not
-        self.came: dict[str, float] = {}        # depots that have come and never were here before
+        self.came: dict[str, float] = {}  # depots that have come and never were here before
         self.disks: dict[str, str] = {}
         self.on_way: dict[
             str, tuple[str, float, tuple[str, ...]]
         ] = {}  # to whom, since when, who keeps it then
-        self.ends: dict[str, set[str]] = {}     # ends on their way: who has not said that it has them
+        self.ends: dict[str, set[str]] = {}  # ends on their way: who has not said that it has them
         self.ends_since: dict[str, float] = {}
         self.ends_done = set[str]()
         self.todo: deque[str] = deque()
@@ -51,7 +52,7 @@
         self.zones[node] = zone
         self.away_since.pop(node, None)
         known, self.disks[node] = self.disks.get(node), disk
-        if known is not None and known != disk:     # it lost its disk: it has no end any more
+        if known is not None and known != disk:  # it lost its disk: it has no end any more
             for mid, (complete, seal, _, holders) in self.k.ends.items():
                 if node in holders:
                     self.k.send(node, "end", End(mid=mid, complete=complete, seal=seal))
@@ -61,8 +62,11 @@
 
     def able(self) -> list[str]:
         k = self.k
-        return [node for node, at in k.peers.items() if k.now - at < 1.0 and k.peers_settled.get(node, False)
-                and node not in self.retiring]
+        return [
+            node
+            for node, at in k.peers.items()
+            if k.now - at < 1.0 and k.peers_settled.get(node, False) and node not in self.retiring
+        ]
 
     def at(self, node: str) -> str:
         """The country that a depot is in, by the policy."""
@@ -74,8 +78,10 @@
         zones = {self.zones.get(node, "") if node != self.k.node else self.k.zone for node in holders}
         return sorted(
             (node for node in self.able() if node not in holders and (not home or self.at(node) == home)),
-            key=lambda node: ((self.zones.get(node) in zones) == self.spread,
-                              zlib.crc32(f"{mid}/{node}".encode())),
+            key=lambda node: (
+                (self.zones.get(node) in zones) == self.spread,
+                zlib.crc32(f"{mid}/{node}".encode()),
+            ),
         )[:count]
 
     # ---- time
@@ -88,9 +94,9 @@
         for mid in [mid for mid, (_, at, _) in self.on_way.items() if k.now - at > AGAIN]:
             del self.on_way[mid]
         for mid in [mid for mid, at in self.ends_since.items() if k.now - at > AGAIN and mid in self.ends]:
-            del self.ends[mid]                  # tried again, perhaps elsewhere
+            del self.ends[mid]  # tried again, perhaps elsewhere
         if k.node in self.retiring:
-            for entry in sorted(k.entries.values(), key=lambda e: e.until)[:4 * AT_ONCE]:
+            for entry in sorted(k.entries.values(), key=lambda e: e.until)[: 4 * AT_ONCE]:
                 self.start(entry, k.node)
             self.move_ends()
             if (key := k.seal.due(self.drained)) is not None:
@@ -160,7 +166,7 @@
             return
         del self.on_way[mid]
         if 2 * len(self.on_way) < AT_ONCE:
-            self.look_at = self.k.now               # further ones need not wait for the next look
+            self.look_at = self.k.now  # further ones need not wait for the next look
         entry = self.k.entries.get(mid)
         if entry is not None and not refused:
             self.settle(entry, found[2])
@@ -192,5 +198,10 @@
     @property
     def drained(self) -> bool:
         """It is to be taken away, and nothing is here that does not stand elsewhere."""
-        return (self.k.node in self.retiring and self.k.settled and not self.k.entries and not self.on_way
-                and all(mid in self.ends_done for mid in self.k.ends))
+        return (
+            self.k.node in self.retiring
+            and self.k.settled
+            and not self.k.entries
+            and not self.on_way
+            and all(mid in self.ends_done for mid in self.k.ends)
+        )
--- a/opalwick/post/depot/role.py
+++ b/opalwick/post/depot/role.py
@@ -3,6 +3,7 @@
 The shell takes `batch()` to the disk in one transaction, one batch at a time, and hands back what was found
 with `synced()`; only then are the words said that follow from it.
 """
+
 from __future__ import annotations
 
 import math
@@ -16,8 +17,8 @@
 from opalwick.post.wire_pb2 import Hand, Hello, Kept, Letter, News, Pulse
 
 ROOM = 0.4  # of the disk that messages may take: sqlite's pages, its log and freed room take as much again
-LEAST = 0.02        # s of a batch on its way that are told: a usual one takes a tenth of it
-LEAVE = 0.4         # s from SIGTERM to the end: what comes meanwhile is synced and answered
+LEAST = 0.02  # s of a batch on its way that are told: a usual one takes a tenth of it
+LEAVE = 0.4  # s from SIGTERM to the end: what comes meanwhile is synced and answered
 
 
 class Depot(Station):
@@ -27,14 +28,20 @@
         """`disk`: the disk's own name."""
         super().__init__(settings, life, now)
         self.disk = disk
-        self.keeping = Keeping(self.node, self.zone, now, settings.bounds.state,
-                               ROOM * settings.disk_mb * 1e6 if settings.disk_mb else math.inf,
-                               settings.survive.boxes + 1, settings.survive.spread)
+        self.keeping = Keeping(
+            self.node,
+            self.zone,
+            now,
+            settings.bounds.state,
+            ROOM * settings.disk_mb * 1e6 if settings.disk_mb else math.inf,
+            settings.survive.boxes + 1,
+            settings.survive.spread,
+        )
         self.guard = Guard(self.zone, settings, self.directory, self.event)
         self.queue: list[Write | Fetch] = []
-        self.disk_since: float | None = None    # when the batch that is on its way to the disk was taken
-        self.told = set[str]()                      # offices that have said who is there, in this life
-        self.left_at = 0.0                      # when it was told to end
+        self.disk_since: float | None = None  # when the batch that is on its way to the disk was taken
+        self.told = set[str]()  # offices that have said who is there, in this life
+        self.left_at = 0.0  # when it was told to end
 
     def clock(self, now: float) -> None:
         self.now = now
@@ -49,8 +56,12 @@
         """Other depots are asked for counters that it does not hear, and told of those that they do not."""
         k = self.keeping
         behind = 0.0 if self.disk_since is None else self.now - self.disk_since
-        pulse = Pulse(settled=k.settled, leaving=k.leaving, empty=k.moving.empty,
-                      behind=behind if behind >= LEAST else 0.0)
+        pulse = Pulse(
+            settled=k.settled,
+            leaving=k.leaving,
+            empty=k.moving.empty,
+            behind=behind if behind >= LEAST else 0.0,
+        )
         if link.peer.role == "depot":
             pulse.edges.update(k.hears(link.peer.node))
             pulse.deaf.extend(k.deaf)
@@ -88,13 +99,13 @@
                 link.say("kept", Kept(mid=word.letter.mid, refused=True))
             case "hand", "depot":
                 k.hand(node, self.let_in(link, word))
-            case ("keep" | "end" | "tried" | "park" | "mine" | "refuse" | "holders"), _:
+            case (("keep" | "end" | "tried" | "park" | "mine" | "refuse" | "holders"), _):
                 getattr(k, kind)(node, word)
             case "kept", "depot":
                 k.moving.kept(node, word.mid, word.refused)
             case "ended", "depot":
                 k.moving.ended(node, word.mid)
-            case ("have" | "differ"), "depot":
+            case (("have" | "differ"), "depot"):
                 getattr(k, kind)(node, word)
             case _:
                 super().heard(link, kind, word)
@@ -130,8 +141,9 @@
         if 2 * sum(node.node in self.told for node in offices) > len(
             offices
         ):  # one alone may have lost its disk
-            self.keeping.expected = {node.node for node in self.nodes("counter") + self.nodes("depot")
-                                     if node.node != self.node}
+            self.keeping.expected = {
+                node.node for node in self.nodes("counter") + self.nodes("depot") if node.node != self.node
+            }
 
     def answer(self, link: Link, word: Any) -> None:
         told = self.keeping.state(word.mid)
--- a/opalwick/post/depot/seal.py
+++ b/opalwick/post/depot/seal.py
@@ -5,16 +5,17 @@
 nobody can be promised anything that rests on its disk: not by a gateway that never heard of the order, and
 not after a restart at which the depot itself has not heard of it yet.
 """
+
 from __future__ import annotations
 
-Key = tuple[int, int]   # of a configuration: its number, and changes beside it
+Key = tuple[int, int]  # of a configuration: its number, and changes beside it
 
 
 class Seal:
     def __init__(self) -> None:
-        self.ordered: Key | None = None     # by the newest configuration this depot is to be taken away
-        self.written: Key | None = None     # on the disk: sealed by the order of that configuration
-        self.on_way = False                 # to the disk
+        self.ordered: Key | None = None  # by the newest configuration this depot is to be taken away
+        self.written: Key | None = None  # on the disk: sealed by the order of that configuration
+        self.on_way = False  # to the disk
 
     @property
     def closed(self) -> bool:
@@ -44,5 +45,5 @@
 
     def synced(self, key: Key) -> None:
         self.on_way = False
-        if self.ordered is not None:        # else the order was taken back meanwhile
+        if self.ordered is not None:  # else the order was taken back meanwhile
             self.written = key
--- a/opalwick/post/depot/status.py
+++ b/opalwick/post/depot/status.py
@@ -1,4 +1,5 @@
 """What a depot tells operators: what it keeps, for whom, whom it hears, and its dead messages."""
+
 from __future__ import annotations
 
 import base64
@@ -16,9 +17,9 @@
 from opalwick.post.wire_pb2 import Letter, Route
 
 NOW = frozenset(("pending", "ends", "settled"))
-PAGE = 100          # dead messages of one answer
-SCAN = 1000         # that are read for it at most
-STEP = 50           # in one turn of the disk's thread: a millisecond that a batch waits
+PAGE = 100  # dead messages of one answer
+SCAN = 1000  # that are read for it at most
+STEP = 50  # in one turn of the disk's thread: a millisecond that a batch waits
 
 
 def status(role: Depot) -> dict[str, Any]:
@@ -26,23 +27,50 @@
     waits = [entry for entry in k.entries.values() if not entry.owner]
     due = [now - entry.due for entry in k.entries.values() if entry.due <= now]
     return {
-        "retiring": sorted(k.moving.retiring), "empty": k.moving.empty, "moving": len(k.moving.on_way),
-        "disk": role.disk, "settled": k.settled, "leaving": k.leaving,
-        "awaits": sorted(k.awaits), "unheard": sorted((k.expected or set()) - k.reported - set(k.peers)),
-        "pending": len(k.entries), "ends": len(k.ends),
+        "retiring": sorted(k.moving.retiring),
+        "empty": k.moving.empty,
+        "moving": len(k.moving.on_way),
+        "disk": role.disk,
+        "settled": k.settled,
+        "leaving": k.leaving,
+        "awaits": sorted(k.awaits),
+        "unheard": sorted((k.expected or set()) - k.reported - set(k.peers)),
+        "pending": len(k.entries),
+        "ends": len(k.ends),
         "dead": sum(not complete for complete, *_ in k.ends.values()),
-        "octets": k.held, "room": int(k.room) if math.isfinite(k.room) else None,
+        "octets": k.held,
+        "room": int(k.room) if math.isfinite(k.room) else None,
         "disk_queue": len(role.queue),
-        "owners": {who: {"messages": len(mids), "alive": k.alive(who)}
-                   for who, mids in sorted(k.owned.items()) if mids},
-        "waiting": len(waits), "waiting_due": sum(entry.due <= now for entry in waits),
+        "owners": {
+            who: {"messages": len(mids), "alive": k.alive(who)}
+            for who, mids in sorted(k.owned.items())
+            if mids
+        },
+        "waiting": len(waits),
+        "waiting_due": sum(entry.due <= now for entry in waits),
         "oldest_due": max(due, default=0.0),
-        "counters": [{"node": c.node, "life": c.life, "zone": c.zone, "age": now - c.heard_at,
-                      "linked": c.linked, "ready": c.ready, "leaving": c.leaving}
-                     for c in k.counters.values()],
-        "peers": [{"node": node, "age": now - at, "settled": k.peers_settled.get(node, False),
-                   "hears": sum(now - heard < LAPSE for heard in k.peers_hear.get(node, {}).values())}
-                  for node, at in sorted(k.peers.items())]}
+        "counters": [
+            {
+                "node": c.node,
+                "life": c.life,
+                "zone": c.zone,
+                "age": now - c.heard_at,
+                "linked": c.linked,
+                "ready": c.ready,
+                "leaving": c.leaving,
+            }
+            for c in k.counters.values()
+        ],
+        "peers": [
+            {
+                "node": node,
+                "age": now - at,
+                "settled": k.peers_settled.get(node, False),
+                "hears": sum(now - heard < LAPSE for heard in k.peers_hear.get(node, {}).values()),
+            }
+            for node, at in sorted(k.peers.items())
+        ],
+    }
 
 
 def home(role: Depot, look: Any) -> dict[str, Any]:
@@ -56,6 +84,7 @@
 
 # ---- one message
 
+
 def why(role: Depot, entry: Entry) -> str:
     """Why it has not ended, as this depot sees it."""
     k = role.keeping
@@ -83,18 +112,35 @@
     k, mid = role.keeping, split(name)[0]
     if (end := k.ends.get(mid)) is not None:
         complete, seal, until, _ = end
-        return {"id": mid, "state": "complete" if complete else "dead", "seal": seal,
-                "told_for": until - role.now, "why": "it has ended"}
+        return {
+            "id": mid,
+            "state": "complete" if complete else "dead",
+            "seal": seal,
+            "told_for": until - role.now,
+            "why": "it has ended",
+        }
     if (entry := k.entries.get(mid)) is None:
         return None
-    return {"id": mid, "state": "pending", "why": why(role, entry), "owner": entry.owner,
-            "claim": entry.claim, "depots": list(entry.holders), "acts": k.acts(entry),
-            "fails": entry.fails, "lost": entry.lost, "octets": entry.size, "home": entry.home,
-            "due_in": entry.due - role.now, "until_in": entry.until - role.now}
+    return {
+        "id": mid,
+        "state": "pending",
+        "why": why(role, entry),
+        "owner": entry.owner,
+        "claim": entry.claim,
+        "depots": list(entry.holders),
+        "acts": k.acts(entry),
+        "fails": entry.fails,
+        "lost": entry.lost,
+        "octets": entry.size,
+        "home": entry.home,
+        "due_in": entry.due - role.now,
+        "until_in": entry.until - role.now,
+    }
 
 
 # ---- dead messages; what `look` runs is in the disk's thread
 
+
 def rows(disk: Any, mids: list[str]) -> list[Row]:
     read = f"select {', '.join(Row._fields)} from letters where mid = ?"
     found = (disk.db.execute(read, (mid,)).fetchone() for mid in mids)
@@ -113,7 +159,7 @@
     if route is None:
         return "no route takes it any more"
     may = ["refused for good (422)"]
-    if row.fails + 1 >= route.tries:            # the last failure is told with the end alone
+    if row.fails + 1 >= route.tries:  # the last failure is told with the end alone
         may.insert(0, f"its attempt {route.tries} of {route.tries} failed")
     if row.until <= time.time():
         may.append("its time ran out")
@@ -123,10 +169,18 @@
 def summary(role: Depot, row: Row) -> dict[str, Any]:
     letter = Letter.FromString(row.letter)
     route = routed(role, letter)
-    return {"id": row.mid, "rid": letter.rid, "route": route.name if route is not None else "",
-            "host": letter.host.decode("latin-1"), "target": letter.target.decode("latin-1"),
-            "octets": len(letter.body), "fails": row.fails, "lost": row.lost, "cause": cause(row, route),
-            "told_for": role.keeping.ends[row.mid][2] - role.now if row.mid in role.keeping.ends else 0.0}
+    return {
+        "id": row.mid,
+        "rid": letter.rid,
+        "route": route.name if route is not None else "",
+        "host": letter.host.decode("latin-1"),
+        "target": letter.target.decode("latin-1"),
+        "octets": len(letter.body),
+        "fails": row.fails,
+        "lost": row.lost,
+        "cause": cause(row, route),
+        "told_for": role.keeping.ends[row.mid][2] - role.now if row.mid in role.keeping.ends else 0.0,
+    }
 
 
 def dead(role: Depot, look: Any, route: str = "", after: str = "") -> dict[str, Any]:
@@ -136,13 +190,13 @@
     found: list[dict[str, Any]] = []
     last, read = after, 0
     while read < min(len(names), SCAN) and len(found) < PAGE:
-        part = names[read:read + STEP]
+        part = names[read : read + STEP]
         here = {row.mid: row for row in look(lambda disk: rows(disk, part))}
         for mid in part:
             if len(found) >= PAGE:
                 break
             read, last = read + 1, mid
-            if mid in here:                     # what it never had is dead here too, but without octets
+            if mid in here:  # what it never had is dead here too, but without octets
                 one = summary(role, here[mid])
                 if not route or one["route"] == route:
                     found.append(one)
@@ -156,26 +210,51 @@
         return None
     letter = Letter.FromString(found[0].letter)
     return summary(role, found[0]) | {
-        "node": role.node, "method": letter.method.decode("latin-1"), "conf": letter.gen,
+        "node": role.node,
+        "method": letter.method.decode("latin-1"),
+        "conf": letter.gen,
         "depots": found[0].holders.split() or list(letter.holders),
         "fields": [[f.name.decode("latin-1"), f.value.decode("latin-1")] for f in letter.fields],
-        "body": base64.b64encode(letter.body).decode()}
+        "body": base64.b64encode(letter.body).decode(),
+    }
 
 
 # ---- figures
 
+
 def metrics(role: Depot) -> list[Any]:
     k, now = role.keeping, role.now
     due = [entry.due for entry in k.entries.values() if entry.due <= now]
     return [
-        ("oldest_due_seconds", False, "How long the message that is due longest has been.",
-         [({}, now - min(due, default=now))]),
-        ("waiting_due", False, "Due, and nobody's to deliver.",
-         [({}, sum(not entry.owner and entry.due <= now for entry in k.entries.values()))]),
-        ("dead_messages", False, "Ended without a success, and still told.",
-         [({}, sum(not complete for complete, *_ in k.ends.values()))]),
+        (
+            "oldest_due_seconds",
+            False,
+            "How long the message that is due longest has been.",
+            [({}, now - min(due, default=now))],
+        ),
+        (
+            "waiting_due",
+            False,
+            "Due, and nobody's to deliver.",
+            [({}, sum(not entry.owner and entry.due <= now for entry in k.entries.values()))],
+        ),
+        (
+            "dead_messages",
+            False,
+            "Ended without a success, and still told.",
+            [({}, sum(not complete for complete, *_ in k.ends.values()))],
+        ),
         ("kept_octets", False, "Of messages on the disk.", [({}, k.held)]),
-        ("owned", False, "Messages that a counter's process delivers.",
-         [({"owner": who}, len(mids)) for who, mids in sorted(k.owned.items()) if mids]),
-        ("depot_heard", False, "Whether another depot was heard of late.",
-         [({"node": node}, float(now - at < LAPSE)) for node, at in sorted(k.peers.items())])]
+        (
+            "owned",
+            False,
+            "Messages that a counter's process delivers.",
+            [({"owner": who}, len(mids)) for who, mids in sorted(k.owned.items()) if mids],
+        ),
+        (
+            "depot_heard",
+            False,
+            "Whether another depot was heard of late.",
+            [({"node": node}, float(now - at < LAPSE)) for node, at in sorted(k.peers.items())],
+        ),
+    ]
--- a/opalwick/post/directory.py
+++ b/opalwick/post/directory.py
@@ -3,6 +3,7 @@
 Words may come twice, late and by several ways. A worker's words are ordered by its `calls`; one that has left
 never comes back under its id, as each start of a worker is a new life with a new one.
 """
+
 from __future__ import annotations
 
 from typing import Any
@@ -16,7 +17,7 @@
 
 class Directory:
     def __init__(self) -> None:
-        self.gone_workers = self.gone_nodes = 0     # at most so many of those below
+        self.gone_workers = self.gone_nodes = 0  # at most so many of those below
         self.workers: dict[str, Worker] = {}
         self.nodes: dict[str, Node] = {}
         self.conf: Conf | None = None
@@ -36,21 +37,25 @@
             known = self.workers.get(worker.id)
             if self.newer(worker, known):
                 if known is not None and (known.disputed or worker.zone != known.zone and not worker.gone):
-                    worker.disputed = True      # one life stands in one place: it is nowhere for sure
+                    worker.disputed = True  # one life stands in one place: it is nowhere for sure
                 self.gone_workers += worker.gone
                 self.workers[worker.id] = worker
                 fresh.workers.append(worker)
         for node in news.nodes:
             before = self.nodes.get(node.node)
-            if before is None or (
-                    node.life, node.count, node.gone) > (before.life, before.count, before.gone):
+            if before is None or (node.life, node.count, node.gone) > (
+                before.life,
+                before.count,
+                before.gone,
+            ):
                 self.gone_nodes += node.gone
                 self.nodes[node.node] = node
                 fresh.nodes.append(node)
         if news.HasField("conf") and (
-                self.conf is None or (news.conf.gen, news.conf.seq) > (self.conf.gen, self.conf.seq)):
+            self.conf is None or (news.conf.gen, news.conf.seq) > (self.conf.gen, self.conf.seq)
+        ):
             if self.conf is not None and self.conf.home.gen > news.conf.home.gen:
-                news.conf.home.CopyFrom(self.conf.home)     # a policy never goes back, whatever offices lost
+                news.conf.home.CopyFrom(self.conf.home)  # a policy never goes back, whatever offices lost
             self.conf = news.conf
             fresh.conf.CopyFrom(news.conf)
         if self.gone_workers > GONE_WORKERS:
@@ -69,7 +74,7 @@
 def forget(known: dict[str, Any], most: int) -> int:
     """The oldest of those that are gone, until half of `most` are left; how many are."""
     gone = [name for name, one in known.items() if one.gone]
-    for name in gone[:-(most // 2)]:
+    for name in gone[: -(most // 2)]:
         del known[name]
     return min(len(gone), most // 2)
 
--- a/opalwick/post/events.py
+++ b/opalwick/post/events.py
@@ -2,6 +2,7 @@
 
 The catalogue is `docs/operate/events.md`. Numbers: 1xx a counter, 2xx an office, 3xx a depot, 9xx any.
 """
+
 from __future__ import annotations
 
 import sys
--- a/opalwick/post/files.py
+++ b/opalwick/post/files.py
@@ -1,6 +1,7 @@
 """Databases of one process each: how they are opened, sums of what was written, and what becomes of a file
 that cannot be read.
 """
+
 from __future__ import annotations
 
 import os
@@ -10,15 +11,20 @@
 from contextlib import contextmanager
 from typing import Any
 
-ROTTEN = b""            # in place of octets that are not what was written
+ROTTEN = b""  # in place of octets that are not what was written
 
 
 def database(path: str, pages: int, *pragmas: str) -> sqlite3.Connection:
     """What is committed there is synced. `pages` of the log are written back at once."""
     db = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
     with closed_if_it_fails(db):
-        for line in ("locking_mode = exclusive",    # one process: the index of the log needs no shared memory
-                     "journal_mode = wal", "synchronous = full", f"wal_autocheckpoint = {pages}", *pragmas):
+        for line in (
+            "locking_mode = exclusive",  # one process: the index of the log needs no shared memory
+            "journal_mode = wal",
+            "synchronous = full",
+            f"wal_autocheckpoint = {pages}",
+            *pragmas,
+        ):
             db.execute(f"pragma {line}").fetchall()
     return db
 
@@ -46,7 +52,7 @@
     holder = os.open(folder, os.O_RDONLY)
     try:
         os.fsync(holder)
-    except OSError:                             # some places sync no folders; the files' own syncs hold them
+    except OSError:  # some places sync no folders; the files' own syncs hold them
         pass
     finally:
         os.close(holder)
--- a/opalwick/post/home/audit.py
+++ b/opalwick/post/home/audit.py
@@ -3,6 +3,7 @@
 It is written in the transaction that keeps the message, or its end, so it tells neither more nor less. Its
 table is made with its first row: a depot that never had such a message has none.
 """
+
 from __future__ import annotations
 
 import hashlib
@@ -10,8 +11,8 @@
 import sqlite3
 from typing import Any
 
-WINDOW = 60         # s: a day of a small site is some thousand rows
-MOST = 7 * 86400    # s that rows are kept: a week, for who looks on Mondays
+WINDOW = 60  # s: a day of a small site is some thousand rows
+MOST = 7 * 86400  # s that rows are kept: a week, for who looks on Mondays
 
 _TABLE = """create table if not exists audit (window integer, home text, what text, country text,
  count integer, primary key (window, home, what, country)) without rowid"""
@@ -41,5 +42,8 @@
 def signed(found: list[tuple[int, str, str, str, int]]) -> dict[str, Any]:
     """The list with a digest over it, by which two readings are told apart; `abroad`: what is not at home."""
     whole = [dict(zip(("window", "home", "what", "country", "count"), row)) for row in found]
-    return {"rows": whole, "abroad": sum(row[4] for row in found if row[1] != row[3]),
-            "sha256": hashlib.sha256(json.dumps(whole, sort_keys=True).encode()).hexdigest()}
+    return {
+        "rows": whole,
+        "abroad": sum(row[4] for row in found if row[1] != row[3]),
+        "sha256": hashlib.sha256(json.dumps(whole, sort_keys=True).encode()).hexdigest(),
+    }
--- a/opalwick/post/home/commands.py
+++ b/opalwick/post/home/commands.py
@@ -1,4 +1,5 @@
 """`opalwick post home`: the policy, where things are by it, and why a partner's or a message's work waits."""
+
 from __future__ import annotations
 
 import json as written
@@ -30,24 +31,47 @@
         for row in depot["list"]["rows"]:
             key = row["window"], row["home"], row["what"], row["country"]
             listed[key] = listed.get(key, 0) + row["count"]
-    look = [f"{one['node']} goes by policy {one['policy']}, {newest} is the newest"
-            for one in of["counter"] + of["depot"] if one["policy"] != newest]
-    look += [f"{one['node']} is in no country for sure: see its settings"
-             for one in of["counter"] + of["depot"] if one["policy"] and not one["country"]]
-    look += [f"the guard of {one['node']} has refused {n} at the door {door!r}"
-             for one in of["counter"] + of["depot"] for door, n in one["refused"].items() if n]
-    look += [f"{count} {what} of {whose} were in {country or 'nowhere'} in the window from {window}"
-             for (window, whose, what, country), count in sorted(listed.items()) if whose != country]
+    look = [
+        f"{one['node']} goes by policy {one['policy']}, {newest} is the newest"
+        for one in of["counter"] + of["depot"]
+        if one["policy"] != newest
+    ]
+    look += [
+        f"{one['node']} is in no country for sure: see its settings"
+        for one in of["counter"] + of["depot"]
+        if one["policy"] and not one["country"]
+    ]
+    look += [
+        f"the guard of {one['node']} has refused {n} at the door {door!r}"
+        for one in of["counter"] + of["depot"]
+        for door, n in one["refused"].items()
+        if n
+    ]
+    look += [
+        f"{count} {what} of {whose} were in {country or 'nowhere'} in the window from {window}"
+        for (window, whose, what, country), count in sorted(listed.items())
+        if whose != country
+    ]
     return {
-        "policy": newest, "said": first["said"] if first is not None else None,
+        "policy": newest,
+        "said": first["said"] if first is not None else None,
         "zones": first["zones"] if first is not None else {},
-        "processes": [{key: one[key] for key in ("node", "role", "policy", "country", "passed", "refused")}
-                      for one in of["counter"] + of["depot"]],
-        "partners": [{"node": one["node"], "partner": name, **row}
-                     for one in of["counter"] for name, row in sorted(one["partners"].items())],
-        "list": [dict(zip(("window", "home", "what", "country"), key)) | {"count": n}
-                 for key, n in sorted(listed.items())],
-        "signed": {one["node"]: one["list"]["sha256"] for one in of["depot"]}, "look": look}
+        "processes": [
+            {key: one[key] for key in ("node", "role", "policy", "country", "passed", "refused")}
+            for one in of["counter"] + of["depot"]
+        ],
+        "partners": [
+            {"node": one["node"], "partner": name, **row}
+            for one in of["counter"]
+            for name, row in sorted(one["partners"].items())
+        ],
+        "list": [
+            dict(zip(("window", "home", "what", "country"), key)) | {"count": n}
+            for key, n in sorted(listed.items())
+        ],
+        "signed": {one["node"]: one["list"]["sha256"] for one in of["depot"]},
+        "look": look,
+    }
 
 
 @home.command
@@ -91,8 +115,10 @@
     zones = parse(given(settings), settings).zones if settings else None
     match read(given(file).encode(), zones):
         case Success(found):
-            print(f"{file}: policy {found.gen}: {len(found.partners)} partners in {len(found.countries)} "
-                  "countries" + ("" if zones is not None else "; regions were not looked up (--settings)"))
+            print(
+                f"{file}: policy {found.gen}: {len(found.partners)} partners in {len(found.countries)} "
+                "countries" + ("" if zones is not None else "; regions were not looked up (--settings)")
+            )
             return 0
         case failure:
             raise Problem(f"{file}: {failure.failure()}")
@@ -112,12 +138,19 @@
     rule = next((p for p in partners if who in (p.get("host"), p.get("route"), p.get("service"))), None)
     if rule is not None:
         said: dict[str, Any] = {
-            "partner": rule, "countries": [z for z, c in sorted(found["zones"].items()) if c == rule["home"]],
+            "partner": rule,
+            "countries": [z for z, c in sorted(found["zones"].items()) if c == rule["home"]],
             "waiting": [row for row in found["partners"] if row["partner"].partition(" ")[2] == who],
-            "list": [row for row in found["list"] if row["home"] == rule["home"]]}
+            "list": [row for row in found["list"] if row["home"] == rule["home"]],
+        }
         if not told(said, json):
-            facts({"home": rule["home"], "zones": said["countries"],
-                   "while home is short": rule.get("short", "wait")})
+            facts(
+                {
+                    "home": rule["home"],
+                    "zones": said["countries"],
+                    "while home is short": rule.get("short", "wait"),
+                }
+            )
             table("waiting", said["waiting"])
             table("copies and runs of its country", said["list"])
         return 0
@@ -127,8 +160,9 @@
         for one in seen:
             place = next((p["country"] for p in found["processes"] if p["node"] == one["node"]), "")
             may = one.get("home") or ("any country" if "home" in one else "not kept once it has ended")
-            facts({"node": one["node"], "in": place, "may be in": may, "state": one["state"],
-                   "why": one["why"]})
+            facts(
+                {"node": one["node"], "in": place, "may be in": may, "state": one["state"], "why": one["why"]}
+            )
             print()
         if not seen:
             print("no partner has that name, and nobody that answers knows such a message")
--- a/opalwick/post/home/guard.py
+++ b/opalwick/post/home/guard.py
@@ -5,6 +5,7 @@
 the node says itself; a worker's by its beats, if it has never said another one, stands at that address alone
 and answers there under its own name. What is not proven is abroad. Each refusal is counted and told (907).
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -19,13 +20,14 @@
 
 
 class Guard:
-    def __init__(self, zone: str, settings: Settings, directory: Directory,
-                 event: Callable[..., None]) -> None:
+    def __init__(
+        self, zone: str, settings: Settings, directory: Directory, event: Callable[..., None]
+    ) -> None:
         """`zone`: in which this process began."""
         self.zone, self.settings, self.directory, self.event = zone, settings, directory, event
         self.policy: Policy | None = None
-        self.conf: Conf | None = None           # by which the policy was read
-        self.at: dict[tuple[str, int], set[str]] = {}       # countries that an address is claimed from
+        self.conf: Conf | None = None  # by which the policy was read
+        self.at: dict[tuple[str, int], set[str]] = {}  # countries that an address is claimed from
         self.passed = dict.fromkeys(DOORS, 0)
         self.refused = dict.fromkeys(DOORS, 0)
 
@@ -39,7 +41,8 @@
             for worker in self.directory.workers.values():
                 if not (worker.gone or worker.silent):
                     self.at.setdefault((worker.host, worker.port), set()).add(
-                        "" if worker.disputed else self.policy.country(worker.zone))
+                        "" if worker.disputed else self.policy.country(worker.zone)
+                    )
 
     # ---- what is known
 
@@ -48,7 +51,7 @@
         if self.policy is None or letter.home_gen > self.policy.gen:
             return letter.home
         if letter.home_gen < self.policy.gen and not new:
-            return letter.home                  # taken by an older one: it stays where that has it
+            return letter.home  # taken by an older one: it stays where that has it
         partner = self.policy.partner(letter)
         return partner.home if partner is not None else letter.home
 
@@ -127,5 +130,9 @@
         return self.passes("body", home, country)
 
     def status(self) -> dict[str, Any]:
-        return {"policy": self.policy.gen if self.policy is not None else 0, "country": self.here,
-                "passed": self.passed, "refused": self.refused}
+        return {
+            "policy": self.policy.gen if self.policy is not None else 0,
+            "country": self.here,
+            "passed": self.passed,
+            "refused": self.refused,
+        }
--- a/opalwick/post/home/policy.py
+++ b/opalwick/post/home/policy.py
@@ -4,6 +4,7 @@
 policy has from the office that took it, one word for all; a process whose own settings say otherwise takes
 that zone for nowhere. A region's country is what the policy says; what it does not name is nobody's home.
 """
+
 from __future__ import annotations
 
 from opalwick.post.counter.routes import Routes
@@ -52,5 +53,8 @@
 
 def named(partner: Partner) -> str:
     """A partner by its one name."""
-    return next(f"{kind} {value}" for kind, value in (
-        ("route", partner.route), ("host", partner.host), ("service", partner.svc)) if value)
+    return next(
+        f"{kind} {value}"
+        for kind, value in (("route", partner.route), ("host", partner.host), ("service", partner.svc))
+        if value
+    )
--- a/opalwick/post/home/reading.py
+++ b/opalwick/post/home/reading.py
@@ -1,6 +1,7 @@
 """The operator's policy, read whole and strictly, as the configuration is; only offices and the command line
 need it. The fields are those of the body; `wait_s` is in seconds.
 """
+
 from __future__ import annotations
 
 import hashlib
@@ -16,7 +17,7 @@
 from opalwick.post.strict import Strict, Wrong, above, by, decoded, each, filled, from_json
 from opalwick.post.wire_pb2 import Country, Endpoint, Home, Keeper, Node, Partner, Zone
 
-WAIT = 60.0     # s that a message is expected to wait at home at most, if nothing is said: two thirds of 90 s
+WAIT = 60.0  # s that a message is expected to wait at home at most, if nothing is said: two thirds of 90 s
 
 
 def _names(value: Any) -> list[str]:
@@ -110,7 +111,8 @@
 def check(body: bytes, zones: dict[str, str] | None = None) -> Result[Home, str]:
     """A Failure is one sentence that names the field. `zones`: each zone's region, where they are known."""
     return from_json(body, lambda given: decoded(_WHOLE, given, "")).bind(
-        lambda read: _home(read, body, zones))
+        lambda read: _home(read, body, zones)
+    )
 
 
 def _home(read: _Policy, body: bytes, zones: dict[str, str] | None) -> Result[Home, str]:
@@ -119,21 +121,36 @@
         return Failure("gen must be at least 1")
     if why := _faults(read, None if zones is None else set(zones.values())):
         return Failure(why)
-    return Success(Home(
-        gen=read.gen, said=body,
-        countries=[Country(name=c.name, regions=c.regions) for c in read.countries],
-        partners=[Partner(host=p.host or "", route=p.route or "", svc=p.service or "", home=p.home,
-                          refuse=p.short == "refuse", wait=p.wait_s) for p in read.partners],
-        endpoints=[Endpoint(address=e.address, region=e.region) for e in read.endpoints],
-        keepers=[Keeper(name=k.name, digest=k.sha256) for k in read.keepers],
-        zones=[Zone(name=name, region=region) for name, region in sorted((zones or {}).items())]))
+    return Success(
+        Home(
+            gen=read.gen,
+            said=body,
+            countries=[Country(name=c.name, regions=c.regions) for c in read.countries],
+            partners=[
+                Partner(
+                    host=p.host or "",
+                    route=p.route or "",
+                    svc=p.service or "",
+                    home=p.home,
+                    refuse=p.short == "refuse",
+                    wait=p.wait_s,
+                )
+                for p in read.partners
+            ],
+            endpoints=[Endpoint(address=e.address, region=e.region) for e in read.endpoints],
+            keepers=[Keeper(name=k.name, digest=k.sha256) for k in read.keepers],
+            zones=[Zone(name=name, region=region) for name, region in sorted((zones or {}).items())],
+        )
+    )
 
 
 def _faults(read: _Policy, regions: set[str] | None) -> str:
     """What does not fit together; empty where all does."""
-    for name, ones in (("countries", [c.name for c in read.countries]),
-                       ("keepers", [k.name for k in read.keepers]),
-                       ("endpoints", [e.address for e in read.endpoints])):
+    for name, ones in (
+        ("countries", [c.name for c in read.countries]),
+        ("keepers", [k.name for k in read.keepers]),
+        ("endpoints", [e.address for e in read.endpoints]),
+    ):
         if two := _repeats(ones):
             return f"{name}[{two[0]}] and {name}[{two[1]}] have the same name"
     of: dict[str, str] = {}
@@ -166,6 +183,8 @@
         there[country] = there.get(country, 0) + 1
     for i, one in enumerate(home.partners):
         if there.get(one.home, 0) < copies:
-            return (f"partners[{i}].home: {one.home} has {there.get(one.home, 0)} machines that keep "
-                    f"messages, {copies} copies are owed")
+            return (
+                f"partners[{i}].home: {one.home} has {there.get(one.home, 0)} machines that keep "
+                f"messages, {copies} copies are owed"
+            )
     return ""
--- a/opalwick/post/home/shelf.py
+++ b/opalwick/post/home/shelf.py
@@ -4,6 +4,7 @@
 prio each has its turn, so that one with much does not hold up one with little. Of one partner's the oldest
 that can still begin in time goes first, then those that are late (`Waiting`).
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -11,13 +12,13 @@
 
 from opalwick.post.counter.desks import Waiting
 
-Rank = tuple[int, str]      # prio, partner
+Rank = tuple[int, str]  # prio, partner
 
 
 class Shelf:
     def __init__(self) -> None:
         self.rows: dict[Rank, Waiting] = {}
-        self.given: dict[str, int] = {}         # turns that a partner has had, while any of its waits
+        self.given: dict[str, int] = {}  # turns that a partner has had, while any of its waits
 
     def __len__(self) -> int:
         return sum(map(len, self.rows.values()))
--- a/opalwick/post/home/short.py
+++ b/opalwick/post/home/short.py
@@ -3,20 +3,21 @@
 A counter knows what it holds itself: so many of a partner's wait, the oldest for so long, so many have ended
 of late. What that promises is what the next one would wait; over the partner's bound it is refused at once.
 """
+
 from __future__ import annotations
 
 from collections import deque
 
-LOOK = 5.0      # s over which ends are counted: some tens of jobs of a slow service
-LEAST = 0.5     # s in Retry-After at least: below it the client is back before anything has changed
+LOOK = 5.0  # s over which ends are counted: some tens of jobs of a slow service
+LEAST = 0.5  # s in Retry-After at least: below it the client is back before anything has changed
 LONGEST = 30.0  # s in Retry-After at most, where nothing moves: nobody knows, and a look costs little
 
 
 class Short:
     def __init__(self, now: float) -> None:
         self.born = now
-        self.ends: dict[str, deque[float]] = {}     # by partner
-        self.waiting: dict[str, tuple[int, float]] = {}     # by partner: how many wait, since when the oldest
+        self.ends: dict[str, deque[float]] = {}  # by partner
+        self.waiting: dict[str, tuple[int, float]] = {}  # by partner: how many wait, since when the oldest
 
     def ended(self, partner: str, now: float) -> None:
         self.ends.setdefault(partner, deque()).append(now)
--- a/opalwick/post/link.py
+++ b/opalwick/post/link.py
@@ -3,6 +3,7 @@
 Whoever stands still, is cut off or does not read loses its links and is dialled again. A link says nothing of
 what a word means; a `Shell` has the links of one process and drives its role.
 """
+
 from __future__ import annotations
 
 import os
@@ -23,17 +24,17 @@
 from opalwick.post.wire_pb2 import Envelope, Hello
 from opalwick.transport.connection import Address, listening
 
-PULSE = 0.25        # s between pulses: four within the second after which a silent link is no longer trusted
-SLOW = 3            # pulses of which one goes out on links whose silence only SILENT judges
+PULSE = 0.25  # s between pulses: four within the second after which a silent link is no longer trusted
+SLOW = 3  # pulses of which one goes out on links whose silence only SILENT judges
 SILENT = 3.0  # s without a word until a link is given up: under the shortest `contact_ms` of a deployment
-DIAL = 0.6          # s for a connection to come up: over twice the slowest trip between regions
-PAUSE = 0.05        # s until a place is dialled again; doubled up to the next
-PAUSES = 0.8        # s: a machine that is back is found within a second
-TICK = 0.05         # s between looks at the time where nothing is due sooner
-LOOK = 5.0          # s between looks at the settings file: far less than an operator's patience
-FIGURES = 10.0      # s between lines of figures in the log
-MOST = 16 << 20     # octets that may wait on a link: some seconds of a machine's whole traffic
-LONGEST = 8 << 20   # octets of one word: the largest body with room to spare
+DIAL = 0.6  # s for a connection to come up: over twice the slowest trip between regions
+PAUSE = 0.05  # s until a place is dialled again; doubled up to the next
+PAUSES = 0.8  # s: a machine that is back is found within a second
+TICK = 0.05  # s between looks at the time where nothing is due sooner
+LOOK = 5.0  # s between looks at the settings file: far less than an operator's patience
+FIGURES = 10.0  # s between lines of figures in the log
+MOST = 16 << 20  # octets that may wait on a link: some seconds of a machine's whole traffic
+LONGEST = 8 << 20  # octets of one word: the largest body with room to spare
 _HEAD = struct.Struct("!I")
 
 
@@ -97,11 +98,11 @@
                         return
                     if len(buffer) - at - 4 < size:
                         break
-                    self.take(bytes(memoryview(buffer)[at + 4:at + 4 + size]))
+                    self.take(bytes(memoryview(buffer)[at + 4 : at + 4 + size]))
                     at += 4 + size
                 if at:
                     del buffer[:at]
-                if self.words:                  # what follows from pulses alone waits for the next tick
+                if self.words:  # what follows from pulses alone waits for the next tick
                     self.words = 0
                     self.shell.settle()
         except OSError:
@@ -113,10 +114,10 @@
         try:
             said = Envelope.FromString(data)
             kind = said.WhichOneof("what")
-        except Exception:                       # not ours, whatever protobuf makes of it
+        except Exception:  # not ours, whatever protobuf makes of it
             return self.close()
         if kind is None:
-            return                              # a word of a later version is passed over
+            return  # a word of a later version is passed over
         word = getattr(said, kind)
         self.words += kind != "pulse"
         if kind == "hello":
@@ -137,6 +138,7 @@
 
 class Process(NamedTuple):
     """What the platform says to a process: to end, to read its settings again; and where those stand."""
+
     stop: Event
     again: Event
     path: str
@@ -144,13 +146,14 @@
 
 class Shell:
     """Runs one role: its links, its time. What else a role needs of the world, a subclass brings."""
-    look: Look | None = None                    # how operators' calls read the disk, where there is one
+
+    look: Look | None = None  # how operators' calls read the disk, where there is one
 
     def __init__(self, role: Station, process: Process) -> None:
         self.role, self.process, self.stop = role, process, process.stop
         self.all: dict[Link, None] = {}
         self.dialling: dict[Address, Any] = {}
-        self.turn = Event()                     # something is due before `wake_at`
+        self.turn = Event()  # something is due before `wake_at`
         self.wake_at = 0.0
         self.ending = False
 
@@ -175,8 +178,12 @@
         try:
             hear(*told)
         except Exception as problem:
-            events.say(901, work=getattr(hear, "__name__", str(hear)), problem=repr(problem),
-                       where=traceback.format_exc(limit=-3))
+            events.say(
+                901,
+                work=getattr(hear, "__name__", str(hear)),
+                problem=repr(problem),
+                where=traceback.format_exc(limit=-3),
+            )
 
     def time_passes(self) -> None:
         """Runs in a greenlet of its own."""
@@ -259,7 +266,7 @@
             seen = stamp
             try:
                 settings = read(self.process.path)
-            except Faulty as problem:           # it goes on with what it has
+            except Faulty as problem:  # it goes on with what it has
                 events.say(905, problem=str(problem))
                 continue
             self.role.clock(time.monotonic())
@@ -278,8 +285,14 @@
 
     def begin(self) -> None:
         operators = Operators(self.role, place(self.role.settings), self.look)
-        for work in (self.listen, self.keep_pulse, self.tell_figures, self.time_passes, self.reread,
-                     operators.accept):
+        for work in (
+            self.listen,
+            self.keep_pulse,
+            self.tell_figures,
+            self.time_passes,
+            self.reread,
+            operators.accept,
+        ):
             self.forever(work)
         self.settle()
 
@@ -293,4 +306,5 @@
                         901, work=work.__name__, problem=repr(problem), where=traceback.format_exc(limit=-3)
                     )
                     gevent.sleep(0.1)
+
         return gevent.spawn(again)
--- a/opalwick/post/maintenance/commands.py
+++ b/opalwick/post/maintenance/commands.py
@@ -1,4 +1,5 @@
 """`opalwick post maintenance`: a window planned, started, watched, stopped, resumed, told of."""
+
 from __future__ import annotations
 
 import json
@@ -13,8 +14,8 @@
 
 NO = 1
 Record = Annotated[str, Parameter(help="Keeps what is seen there, a JSON line each time.")]
-EVERY = 1.0         # s between looks of `watch`: as often as a rack's state may well change
-PATIENCE = 30.0     # s that `watch` goes on asking: a new primary is there within two
+EVERY = 1.0  # s between looks of `watch`: as often as a rack's state may well change
+PATIENCE = 30.0  # s that `watch` goes on asking: a new primary is there within two
 OVER = ("done", "aborted")
 
 maintenance = App(name="maintenance", help="Racks go down in turn, and everybody keeps enough.")
@@ -40,10 +41,15 @@
     office = next((one for one in said if one["role"] == "office" and one["active"]), None)
     if office is None:
         raise Problem("no active primary answers")
-    units = tuple(Unit(w["id"], w["svc"], w["zone"], w["address"].rpartition(":")[0], w["capacity"])
-                  for w in office["workers"] if w["state"] == "up")
-    machines = tuple(Machine(one["node"], one["role"], one["zone"], one["life"], one.get("settled", True))
-                     for one in sorted(said, key=lambda one: str(one["node"])))
+    units = tuple(
+        Unit(w["id"], w["svc"], w["zone"], w["address"].rpartition(":")[0], w["capacity"])
+        for w in office["workers"]
+        if w["state"] == "up"
+    )
+    machines = tuple(
+        Machine(one["node"], one["role"], one["zone"], one["life"], one.get("settled", True))
+        for one in sorted(said, key=lambda one: str(one["node"]))
+    )
     demand: dict[str, float] = {}
     for one in said:
         for svc, desk in one.get("desks", {}).items():
@@ -53,8 +59,11 @@
 
 def offices(answers: dict[Place, Any]) -> list[Place]:
     """Where they are called."""
-    found = [endpoint(one.get("ctl", "")) for one in answers.values()
-             if isinstance(one, dict) and one["role"] == "office"]
+    found = [
+        endpoint(one.get("ctl", ""))
+        for one in answers.values()
+        if isinstance(one, dict) and one["role"] == "office"
+    ]
     return [place for place in found if place is not None]
 
 
@@ -93,19 +102,36 @@
     planner = Planner(declared(file), fleet(everybody(at)))
     found = planner.plan()
     if isinstance(found, Impossible):
-        if not told({"why": found.why, "sure": found.sure, "stands": {
-                rack: [str(one) for one in why] for rack, why in found.stands.items()}}, json):
+        if not told(
+            {
+                "why": found.why,
+                "sure": found.sure,
+                "stands": {rack: [str(one) for one in why] for rack, why in found.stands.items()},
+            },
+            json,
+        ):
             print(found.why if found.sure else f"{found.why}: none was found, one may exist")
-            table("what stands in the way", [{"rack": rack, "need": str(one)}
-                                             for rack, why in found.stands.items() for one in why])
+            table(
+                "what stands in the way",
+                [{"rack": rack, "need": str(one)} for rack, why in found.stands.items() for one in why],
+            )
         return NO
     if told({"steps": found.steps, "seconds": found.seconds, "loss": found.loss, "fair": found.fair}, json):
         return 0
-    table("steps", [{"step": i + 1, "racks": list(step), "away": planner.seconds([step])}
-                    for i, step in enumerate(found.steps)])
-    table("seconds away, over slots and weight", [
-        {"tenant": t, "planned": round(loss, 1), "least": round(found.fair[t], 1)}
-        for t, loss in found.loss.items()])
+    table(
+        "steps",
+        [
+            {"step": i + 1, "racks": list(step), "away": planner.seconds([step])}
+            for i, step in enumerate(found.steps)
+        ],
+    )
+    table(
+        "seconds away, over slots and weight",
+        [
+            {"tenant": t, "planned": round(loss, 1), "least": round(found.fair[t], 1)}
+            for t, loss in found.loss.items()
+        ],
+    )
     return 0
 
 
@@ -164,29 +190,36 @@
 
 
 def line(found: dict[str, Any]) -> str:
-    racks = ", ".join(f"{name} {one['state']}" + (" (wanted back)" if one["recalled"] else "")
-                      for name, one in found["racks"].items() if one["state"] != "waiting")
+    racks = ", ".join(
+        f"{name} {one['state']}" + (" (wanted back)" if one["recalled"] else "")
+        for name, one in found["racks"].items()
+        if one["state"] != "waiting"
+    )
     waits = f"; waits: {'; '.join(found['why'])}" if found["why"] else ""
     many = len(found["steps"])
     return f"{found['phase']}, step {min(found['step'] + 1, many)} of {many}: {racks or 'all up'}{waits}"
 
 
 @maintenance.command
-def watch(*, at: At = "", record: Record = "",
-          once: Annotated[bool, Parameter(negative="")] = False) -> int:
+def watch(*, at: At = "", record: Record = "", once: Annotated[bool, Parameter(negative="")] = False) -> int:
     """Shows how the window goes until it is over; exit code 1 if it was aborted."""
     from rich.console import Console
     from rich.progress import BarColumn, Progress, TextColumn
 
     console = Console(highlight=False, soft_wrap=True)
     before, places, silent = "", offices(everybody(at)), 0.0
-    with Progress(TextColumn("{task.description}"), BarColumn(), console=console,
-                  disable=not console.is_terminal, transient=True) as progress:
+    with Progress(
+        TextColumn("{task.description}"),
+        BarColumn(),
+        console=console,
+        disable=not console.is_terminal,
+        transient=True,
+    ) as progress:
         task = progress.add_task("", total=1.0)
         while True:
             try:
                 found, silent = current(places), 0.0
-            except Problem:                         # the window may have taken down who was asked
+            except Problem:  # the window may have taken down who was asked
                 if (silent := silent + EVERY) > PATIENCE:
                     raise
                 time.sleep(EVERY)
@@ -221,14 +254,31 @@
     found = samples[-1] if samples else current(offices(everybody(at)))
     if out:
         Path(out).write_text(page(found, samples))
-    if told({"window": found["window"], "phase": found["phase"], "ran_s": found["ran_s"],
-             "shares": parts(found), "log": found["log"]}, json):
+    if told(
+        {
+            "window": found["window"],
+            "phase": found["phase"],
+            "ran_s": found["ran_s"],
+            "shares": parts(found),
+            "log": found["log"],
+        },
+        json,
+    ):
         return 0
     print(line(found))
     table("shares of the outage", parts(found))
-    table("steps", [{"at": one["at_s"], "what": one["what"],
-                     "racks": one.get("racks", one.get("rack", "")), "why": one.get("why", "")}
-                    for one in found["log"]])
+    table(
+        "steps",
+        [
+            {
+                "at": one["at_s"],
+                "what": one["what"],
+                "racks": one.get("racks", one.get("rack", "")),
+                "why": one.get("why", ""),
+            }
+            for one in found["log"]
+        ],
+    )
     return 0
 
 
--- a/opalwick/post/maintenance/conductor.py
+++ b/opalwick/post/maintenance/conductor.py
@@ -6,6 +6,7 @@
 that dies has done what is saved and nothing else, and one that was overtaken wants what no disk takes any
 more: a write carries the epoch of the view, which only grows.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -17,12 +18,25 @@
 from opalwick.post.maintenance.planner import Impossible, Plan, plan
 from opalwick.post.maintenance.racks import Declaration
 from opalwick.post.maintenance.state import (
-    ABORTED, ABORTING, AWAY, BACK, DONE, DRAINING, LOST, PAUSED, RESTING, RUNNING, WAITING, Course, State)
+    ABORTED,
+    ABORTING,
+    AWAY,
+    BACK,
+    DONE,
+    DRAINING,
+    LOST,
+    PAUSED,
+    RESTING,
+    RUNNING,
+    WAITING,
+    Course,
+    State,
+)
 
-QUIET = 0.5         # s beyond a route's limit until what was sent before a drain has ended: words, and clocks
-CALM = 3.0          # s after a drain was called back until the next begins: the demand's mean has settled
-ANSWER = 1.5        # s until a state that nobody said is in force may be wanted again: over a write's 0.8
-BLIND = 1.5         # s that a new conductor only looks: links, pulses and counters' figures come within one
+QUIET = 0.5  # s beyond a route's limit until what was sent before a drain has ended: words, and clocks
+CALM = 3.0  # s after a drain was called back until the next begins: the demand's mean has settled
+ANSWER = 1.5  # s until a state that nobody said is in force may be wanted again: over a write's 0.8
+BLIND = 1.5  # s that a new conductor only looks: links, pulses and counters' figures come within one
 
 
 class Refused(NamedTuple):
@@ -33,13 +47,13 @@
 class Conductor:
     def __init__(self) -> None:
         self.state: State | None = None
-        self.at = 0.0                               # when it was adopted
+        self.at = 0.0  # when it was adopted
         self.wanted_at = -1e9
         self.seen_at = -1e9
         self.calm_at = self.blind_until = -1e9
-        self.lost: dict[str, float] = {}            # by tenant, since it was adopted
-        self.why: list[str] = []                    # it waits
-        self.late: list[str] = []                   # racks that are away for too long
+        self.lost: dict[str, float] = {}  # by tenant, since it was adopted
+        self.why: list[str] = []  # it waits
+        self.late: list[str] = []  # racks that are away for too long
 
     def adopt(self, state: State | None, now: float) -> None:
         """It is in force: its own, or as it was found."""
@@ -69,8 +83,9 @@
         assert s is not None
         spent = now - self.at
         racks = {name: replace(course, for_s=course.for_s + spent) for name, course in s.racks.items()}
-        lost = {tenant: s.lost.get(tenant, 0.0) + self.lost.get(tenant, 0.0)
-                for tenant in {*s.lost, *self.lost}}
+        lost = {
+            tenant: s.lost.get(tenant, 0.0) + self.lost.get(tenant, 0.0) for tenant in {*s.lost, *self.lost}
+        }
         return replace(s, racks=racks, ran_s=s.ran_s + spent, lost=dict(sorted(lost.items())))
 
     def moved(self, now: float, names: Iterable[str], to: str, **more: Any) -> State:
@@ -104,8 +119,10 @@
         if now < self.blind_until:
             self.why = ["it has only just begun to conduct"]
             return None
-        self.why, self.late = [], [name for name in s.of(AWAY)
-                                   if self.age(name, now) > s.declared.rack(name).longest_s]
+        self.why, self.late = (
+            [],
+            [name for name in s.of(AWAY) if self.age(name, now) > s.declared.rack(name).longest_s],
+        )
         found = self.next(now, fleet, there, s)
         if found is not None:
             self.wanted_at = now
@@ -116,32 +133,40 @@
         for name in s.of(AWAY, LOST):
             course = s.racks[name]
             if returned(course, there[name]) and (
-                    harm or course.recalled or all(unit.warm for unit in there[name].units)):
+                harm or course.recalled or all(unit.warm for unit in there[name].units)
+            ):
                 # one at a time: each is let in and looked at before the next
-                return self.moved(now, [name], BACK).told("back", rack=name, cold=not all(
-                    unit.warm for unit in there[name].units))
+                return self.moved(now, [name], BACK).told(
+                    "back", rack=name, cold=not all(unit.warm for unit in there[name].units)
+                )
         draining = s.of(DRAINING)
         if draining and (harm or s.phase != RUNNING):
             self.calm_at = now + CALM
             return self.moved(now, draining, WAITING, depots=(), slots={}).told(
-                "drain called back", racks=draining, why=texts(harm) or [s.phase])
-        recalled = [name for name in s.of(AWAY) if not s.racks[name].recalled
-                    and (harm or s.phase == ABORTING)]
+                "drain called back", racks=draining, why=texts(harm) or [s.phase]
+            )
+        recalled = [
+            name for name in s.of(AWAY) if not s.racks[name].recalled and (harm or s.phase == ABORTING)
+        ]
         if recalled:
             found = self.now_as(now)
-            racks = {name: replace(course, recalled=course.recalled or name in recalled)
-                     for name, course in found.racks.items()}
+            racks = {
+                name: replace(course, recalled=course.recalled or name in recalled)
+                for name, course in found.racks.items()
+            }
             return replace(found, racks=racks).told("recalled", racks=recalled, why=texts(harm) or [s.phase])
         if draining:
             return self.hand_over(now, fleet, there, draining)
         if away := s.of(AWAY):
-            self.why = [f"rack {name} is away" + (" for too long" if name in self.late else "")
-                        for name in away]
+            self.why = [
+                f"rack {name} is away" + (" for too long" if name in self.late else "") for name in away
+            ]
             return None
         if s.phase == ABORTING:
             return replace(self.now_as(now), phase=ABORTED).told("aborted")
-        if s.at >= len(s.steps) or not any(s.racks[name].state == WAITING
-                                           for step in s.steps[s.at:] for name in step):
+        if s.at >= len(s.steps) or not any(
+            s.racks[name].state == WAITING for step in s.steps[s.at :] for name in step
+        ):
             return replace(self.now_as(now), phase=DONE, at=len(s.steps)).told("done")
         if s.phase != RUNNING:
             return None
@@ -167,21 +192,28 @@
             return None
         harm = hurt(s.declared, fleet, [there[name] for name in (*s.of(*RESTING), *step)])
         if harm:
-            left = [name for each in s.steps[s.at:] for name in each if s.racks[name].state == WAITING]
+            left = [name for each in s.steps[s.at :] for name in each if s.racks[name].state == WAITING]
             found = plan(s.declared, fleet, left, s.of(*RESTING))
             self.why = texts(harm)
             if isinstance(found, Plan):
-                return replace(self.now_as(now), steps=(*s.steps[:s.at], *found.steps)).told(
-                    "planned anew", steps=[list(one) for one in found.steps], why=texts(harm))
+                return replace(self.now_as(now), steps=(*s.steps[: s.at], *found.steps)).told(
+                    "planned anew", steps=[list(one) for one in found.steps], why=texts(harm)
+                )
             return None
         racks = self.moved(now, step, DRAINING)
-        drained = {name: replace(racks.racks[name], slots=summed(there[name]),
-                                 depots=tuple(m.name for m in there[name].machines if m.role == "depot"))
-                   for name in step}
+        drained = {
+            name: replace(
+                racks.racks[name],
+                slots=summed(there[name]),
+                depots=tuple(m.name for m in there[name].machines if m.role == "depot"),
+            )
+            for name in step
+        }
         return replace(racks, racks=racks.racks | drained).told("drains", racks=step)
 
-    def hand_over(self, now: float, fleet: Fleet, there: dict[str, Content],
-                  names: list[str]) -> State | None:
+    def hand_over(
+        self, now: float, fleet: Fleet, there: dict[str, Content], names: list[str]
+    ) -> State | None:
         """Once nothing is out there, and nothing is kept there."""
         s = self.state
         assert s is not None
@@ -191,10 +223,15 @@
             self.why = [f"{depot} is not empty" for depot in full] or ["deliveries are out at who rests"]
             return None
         found = self.moved(now, names, AWAY)
-        noted = {name: replace(found.racks[name], ids=tuple(unit.id for unit in there[name].units),
-                               slots=summed(there[name]),
-                               lives={m.name: m.life for m in there[name].machines})
-                 for name in names}
+        noted = {
+            name: replace(
+                found.racks[name],
+                ids=tuple(unit.id for unit in there[name].units),
+                slots=summed(there[name]),
+                lives={m.name: m.life for m in there[name].machines},
+            )
+            for name in names
+        }
         return replace(found, racks=found.racks | noted).told("handed over", racks=names)
 
     # ---- operators
@@ -206,8 +243,9 @@
         if isinstance(found, Impossible):
             return Refused(409, found.why)
         serial = 1 + (self.state.serial if self.state is not None else 0)
-        return State(serial, declared, found.steps, {rack.name: Course() for rack in declared.racks},
-                     fair=found.fair).told("started", steps=[list(step) for step in found.steps])
+        return State(
+            serial, declared, found.steps, {rack.name: Course() for rack in declared.racks}, fair=found.fair
+        ).told("started", steps=[list(step) for step in found.steps])
 
     def ordered(self, what: str, now: float, rack: str = "") -> State | Refused:
         """`pause`, `resume`, `abort`, `back`."""
@@ -221,7 +259,8 @@
                 return Refused(409, f"no rack {rack!r} is away")
             found = self.now_as(now)
             return replace(found, racks=found.racks | {rack: replace(found.racks[rack], as_is=True)}).told(
-                "said to be back", rack=rack)
+                "said to be back", rack=rack
+            )
         if s.phase == ABORTING:
             return Refused(409, "it is being aborted")
         to = {"pause": PAUSED, "resume": RUNNING, "abort": ABORTING}[what]
@@ -251,11 +290,13 @@
 def returned(course: Course, there: Content) -> bool:
     """Whether all that was handed over is there again, in a new life, or an operator has said so."""
     if course.as_is or not (course.lives or course.slots):
-        return course.as_is                         # of an empty rack nothing could be seen to return
+        return course.as_is  # of an empty rack nothing could be seen to return
     here = {machine.name: machine for machine in there.machines if machine.settled}
     slots = summed(there)
     if any(name not in here for name in course.lives) or any(
-            slots.get(svc, 0) < count for svc, count in course.slots.items()):
+        slots.get(svc, 0) < count for svc, count in course.slots.items()
+    ):
         return False
-    return (all(here[name].life > life for name, life in course.lives.items())
-            and not set(course.ids) & {unit.id for unit in there.units})
+    return all(here[name].life > life for name, life in course.lives.items()) and not set(course.ids) & {
+        unit.id for unit in there.units
+    }
--- a/opalwick/post/maintenance/fleet.py
+++ b/opalwick/post/maintenance/fleet.py
@@ -1,4 +1,5 @@
 """What is there of a fleet at one moment, as the planner and the conductor are told it."""
+
 from __future__ import annotations
 
 from collections.abc import Mapping
@@ -10,6 +11,7 @@
 
 class Unit(NamedTuple):
     """A worker that is live: it beats and does not drain by itself."""
+
     id: str
     svc: str
     zone: str
@@ -20,26 +22,28 @@
 
 class Machine(NamedTuple):
     """One of the system's own that is linked and serves."""
+
     name: str
-    role: str           # counter, depot, office
+    role: str  # counter, depot, office
     zone: str
     life: int
-    settled: bool = True    # a depot has caught up, an office hears the primary
+    settled: bool = True  # a depot has caught up, an office hears the primary
 
 
 class Fleet(NamedTuple):
     units: tuple[Unit, ...] = ()
     machines: tuple[Machine, ...] = ()
-    voters: int = 0                             # offices that vote, whether they are there or not
-    demand: Mapping[str, float] = {}            # by service: messages due and not ended
-    missing: tuple[str, ...] = ()               # machines that were there of late and are not
-    empty: frozenset[str] = frozenset()         # depots that are to be taken away, and keep nothing more
-    rested: bool = False                        # no counter has a delivery out at who rests
-    limit: float = 0.0                          # s that a delivery may take at most
+    voters: int = 0  # offices that vote, whether they are there or not
+    demand: Mapping[str, float] = {}  # by service: messages due and not ended
+    missing: tuple[str, ...] = ()  # machines that were there of late and are not
+    empty: frozenset[str] = frozenset()  # depots that are to be taken away, and keep nothing more
+    rested: bool = False  # no counter has a delivery out at who rests
+    limit: float = 0.0  # s that a delivery may take at most
 
 
 class Content(NamedTuple):
     """What of a fleet stands in a rack."""
+
     units: tuple[Unit, ...]
     machines: tuple[Machine, ...]
 
--- a/opalwick/post/maintenance/needs.py
+++ b/opalwick/post/maintenance/needs.py
@@ -1,5 +1,6 @@
 """Whether what is left of a fleet is enough. Fewer left is never better: what holds with more racks down
 holds with fewer."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -11,6 +12,7 @@
 
 class Hurt(NamedTuple):
     """A need that is not met."""
+
     need: str
     has: float
     needs: float
@@ -32,8 +34,11 @@
     left = [unit for unit in fleet.units if unit.id not in gone and unit.warm]
     for need in declared.needs:
         live = [unit for unit in left if unit.svc == need.service]
-        must(f"slots of {need.service} for {need.share:g} of its demand", sum(unit.slots for unit in live),
-             need.share * fleet.demand.get(need.service, 0.0))
+        must(
+            f"slots of {need.service} for {need.share:g} of its demand",
+            sum(unit.slots for unit in live),
+            need.share * fleet.demand.get(need.service, 0.0),
+        )
         must(f"workers of {need.service}", len(live), need.least)
         must(f"zones with a worker of {need.service}", len({unit.zone for unit in live}), need.zones)
     there = [machine for machine in fleet.machines if machine.name not in off]
--- a/opalwick/post/maintenance/planner.py
+++ b/opalwick/post/maintenance/planner.py
@@ -8,6 +8,7 @@
 
 A function of what is declared and what is there: no clock, no chance of its own.
 """
+
 from __future__ import annotations
 
 import random
@@ -18,25 +19,26 @@
 from opalwick.post.maintenance.needs import Hurt, hurt
 from opalwick.post.maintenance.racks import Declaration
 
-FAIR = 1.1          # times the loss that cannot be avoided: what a tenant is promised at most
-DRAWN = 24          # orders that are tried beside the few that are known to be good: more found no better
-PASSES = 6          # over all pairs of steps, in the search that follows each: it mostly ends in two
-SMALL = 7           # racks up to which all partitions are tried: 877 of them
+FAIR = 1.1  # times the loss that cannot be avoided: what a tenant is promised at most
+DRAWN = 24  # orders that are tried beside the few that are known to be good: more found no better
+PASSES = 6  # over all pairs of steps, in the search that follows each: it mostly ends in two
+SMALL = 7  # racks up to which all partitions are tried: 877 of them
 
 Step = tuple[str, ...]
 
 
 class Plan(NamedTuple):
     steps: tuple[Step, ...]
-    seconds: float                              # that racks are away, the steps after each other
-    loss: dict[str, float]                      # by tenant: slot-seconds over its weight and its slots
-    fair: dict[str, float]                      # the least that can be had of that
+    seconds: float  # that racks are away, the steps after each other
+    loss: dict[str, float]  # by tenant: slot-seconds over its weight and its slots
+    fair: dict[str, float]  # the least that can be had of that
 
 
 class Impossible(NamedTuple):
     """`sure`: no plan can exist; else none was found."""
+
     why: str
-    stands: dict[str, list[Hurt]]               # by rack: the needs that keep it from going down alone
+    stands: dict[str, list[Hurt]]  # by rack: the needs that keep it from going down alone
     sure: bool
 
 
@@ -45,8 +47,13 @@
 
 
 class Planner:
-    def __init__(self, declared: Declaration, fleet: Fleet, racks: Iterable[str] | None = None,
-                 gone: Iterable[str] = ()) -> None:
+    def __init__(
+        self,
+        declared: Declaration,
+        fleet: Fleet,
+        racks: Iterable[str] | None = None,
+        gone: Iterable[str] = (),
+    ) -> None:
         """`racks`: those that are still to go; none given: all. `gone`: those that stay away for good."""
         self.declared, self.fleet = declared, fleet
         self.contents = contents(declared, fleet)
@@ -65,7 +72,7 @@
     def slots(self, units: Iterable[object]) -> list[float]:
         found = dict.fromkeys(self.tenants, 0.0)
         for unit in units:
-            found[self.declared.tenant(unit.svc)] += unit.slots     # type: ignore[attr-defined]
+            found[self.declared.tenant(unit.svc)] += unit.slots  # type: ignore[attr-defined]
         return list(found.values())
 
     # ---- what a step is worth
@@ -84,7 +91,8 @@
             found = self.known[held] = (
                 len(held) <= self.declared.together
                 and all(not self.beside[a] or b in self.beside[a] for a in held for b in held if a != b)
-                and not self.hurt(sorted(held)))
+                and not self.hurt(sorted(held))
+            )
         return found
 
     def loss(self, steps: Iterable[Step]) -> list[float]:
@@ -103,8 +111,13 @@
     def key(self, steps: Steps) -> Key:
         """The least is the best. Whether it is unfair or too long stands before the number of steps."""
         loss = self.loss(steps)
-        return (max(loss, default=0.0) > self.most, self.seconds(steps) > self.declared.longest_s,
-                len(steps), tuple(round(one, 9) for one in sorted(loss, reverse=True)), steps)
+        return (
+            max(loss, default=0.0) > self.most,
+            self.seconds(steps) > self.declared.longest_s,
+            len(steps),
+            tuple(round(one, 9) for one in sorted(loss, reverse=True)),
+            steps,
+        )
 
     # ---- ways to a plan
 
@@ -126,8 +139,12 @@
 
     def fits(self, steps: list[Step], i: int, name: str) -> bool:
         placed = {one for step in steps for one in step} | {name}
-        tried = [*steps[:i], (*steps[i], name), *steps[i + 1:],
-                 *((one,) for one in self.racks if one not in placed)]
+        tried = [
+            *steps[:i],
+            (*steps[i], name),
+            *steps[i + 1 :],
+            *((one,) for one in self.racks if one not in placed),
+        ]
         return max(self.loss(tried), default=0.0) <= self.most
 
     def orders(self) -> Iterator[list[str]]:
@@ -165,20 +182,26 @@
                     if i == j:
                         continue
                     if self.bears((*there, name)):
-                        yield self.tidy([*(s for n, s in enumerate(held) if n not in (i, j)), rest,
-                                         [*there, name]])
+                        yield self.tidy(
+                            [*(s for n, s in enumerate(held) if n not in (i, j)), rest, [*there, name]]
+                        )
                     if i < j:
                         for other in there:
                             swapped = [*rest, other], [*(o for o in there if o != other), name]
                             if all(map(self.bears, swapped)):
-                                yield self.tidy([*(s for n, s in enumerate(held) if n not in (i, j)),
-                                                 *swapped])
+                                yield self.tidy(
+                                    [*(s for n, s in enumerate(held) if n not in (i, j)), *swapped]
+                                )
 
     def tidy(self, steps: Iterable[Iterable[str]]) -> Steps:
         """The same steps in one order for all: as the racks are declared."""
         place = {name: i for i, name in enumerate(self.racks)}
-        return tuple(sorted((tuple(sorted(step, key=place.__getitem__)) for step in steps if step),
-                            key=lambda step: place[step[0]]))
+        return tuple(
+            sorted(
+                (tuple(sorted(step, key=place.__getitem__)) for step in steps if step),
+                key=lambda step: place[step[0]],
+            )
+        )
 
     def exact(self) -> Steps:
         """The best of all partitions: for few racks."""
@@ -194,7 +217,7 @@
             yield [*steps, (last,)]
             for i, step in enumerate(steps):
                 if self.bears((*step, last)):
-                    yield [*steps[:i], (*step, last), *steps[i + 1:]]
+                    yield [*steps[:i], (*step, last), *steps[i + 1 :]]
 
     def search(self) -> Steps:
         """The best of what the ways find. One rack at a time and the greedy plan are among them, so it is
@@ -228,7 +251,9 @@
             least = max(self.longest[name] for name in self.racks)
             return Impossible(
                 f"the steps take {self.seconds(steps):g} s, the window has {self.declared.longest_s:g}",
-                self.apart(), len(self.racks) <= SMALL or least > self.declared.longest_s)
+                self.apart(),
+                len(self.racks) <= SMALL or least > self.declared.longest_s,
+            )
         loss = dict(zip(self.tenants, self.loss(steps)))
         return Plan(self.spread(steps), self.seconds(steps), loss, dict(zip(self.tenants, self.fair)))
 
@@ -241,8 +266,9 @@
         return found
 
 
-def plan(declared: Declaration, fleet: Fleet, racks: Iterable[str] | None = None,
-         gone: Iterable[str] = ()) -> Plan | Impossible:
+def plan(
+    declared: Declaration, fleet: Fleet, racks: Iterable[str] | None = None, gone: Iterable[str] = ()
+) -> Plan | Impossible:
     return Planner(declared, fleet, racks, gone).plan()
 
 
--- a/opalwick/post/maintenance/racks.py
+++ b/opalwick/post/maintenance/racks.py
@@ -3,6 +3,7 @@
 Read whole and strictly, from TOML (a file: faults name file, line and key) or JSON (a call: the key alone).
 Times are seconds.
 """
+
 from __future__ import annotations
 
 import ipaddress
@@ -17,7 +18,19 @@
 
 from opalwick.lines import line_of
 from opalwick.post.strict import (
-    Strict, Wrong, above, by, decoded, each, filled, from_json, from_one, one, text, whole)
+    Strict,
+    Wrong,
+    above,
+    by,
+    decoded,
+    each,
+    filled,
+    from_json,
+    from_one,
+    one,
+    text,
+    whole,
+)
 
 
 def _share(value: Any) -> float:
@@ -62,19 +75,21 @@
 
 class _Known(Strict):
     """A word that is misspelt must not pass for one that is left out."""
+
     forbid_extra_keys = True
 
 
 @dataclass(frozen=True, slots=True)
 class Rack:
     """Machines of the system by name; workers by their addresses, their zone or their ids."""
+
     name: str = by(filled)
-    longest_s: float = by(above)                    # that it may be away
+    longest_s: float = by(above)  # that it may be away
     machines: tuple[str, ...] = by(_names, default=())
     nets: tuple[str, ...] = by(_nets, default=())
     zones: tuple[str, ...] = by(_names, default=())
     workers: tuple[str, ...] = by(_names, default=())
-    beside: tuple[str, ...] = by(_names, default=())    # racks that may be down with it; empty: any
+    beside: tuple[str, ...] = by(_names, default=())  # racks that may be down with it; empty: any
 
     class Config(_Known):
         pass
@@ -82,19 +97,23 @@
     @property
     def rules(self) -> list[str]:
         """Whose workers rest, as counters read it; see `resting`."""
-        return [*(f"id:{id}" for id in self.workers), *(f"zone:{zone}" for zone in self.zones),
-                *(f"net:{net}" for net in self.nets)]
+        return [
+            *(f"id:{id}" for id in self.workers),
+            *(f"zone:{zone}" for zone in self.zones),
+            *(f"net:{net}" for net in self.nets),
+        ]
 
 
 @dataclass(frozen=True, slots=True)
 class Need:
     """Of a service: live slots as a share of the present demand, workers, zones with one."""
+
     service: str = by(filled)
     share: float = by(_share, default=1.0)
     least: int = by(whole, default=1)
     zones: int = by(whole, default=1)
-    tenant: str = by(text, default="")              # empty: the service's own name
-    weight: float = by(above, default=1.0)          # of the tenant: what it may lose against the others
+    tenant: str = by(text, default="")  # empty: the service's own name
+    weight: float = by(above, default=1.0)  # of the tenant: what it may lose against the others
 
     class Config(_Known):
         pass
@@ -103,8 +122,9 @@
 @dataclass(frozen=True, slots=True)
 class Own:
     """Of the system itself. Offices always keep their majority."""
-    copies: int = by(from_one, default=2)           # disks that a message is on: survive.boxes + 1
-    spare: int = by(whole, default=0)               # depots beyond these
+
+    copies: int = by(from_one, default=2)  # disks that a message is on: survive.boxes + 1
+    spare: int = by(whole, default=0)  # depots beyond these
     counters: int = by(from_one, default=1)
 
     class Config(_Known):
@@ -114,8 +134,9 @@
 @dataclass(frozen=True, slots=True)
 class Shares:
     """Of what is left of a service while it is short, among partners."""
+
     service: str = by(filled)
-    routes: dict[str, str] = by(_partners)          # partner by route; another route is its own partner
+    routes: dict[str, str] = by(_partners)  # partner by route; another route is its own partner
     weights: dict[str, float] = by(_weights, default_factory=dict)  # 1 where none is given
 
     class Config(_Known):
@@ -125,11 +146,11 @@
 @dataclass(frozen=True, slots=True)
 class Declaration:
     name: str = by(filled)
-    longest_s: float = by(above)                    # of the whole window
+    longest_s: float = by(above)  # of the whole window
     racks: list[Rack] = by(each(Rack))
     needs: list[Need] = by(each(Need), default_factory=list)
     own: Own = by(one(Own), default=Own())
-    together: int = by(from_one, default=1)         # racks that are down at once, at most
+    together: int = by(from_one, default=1)  # racks that are down at once, at most
     shares: list[Shares] = by(each(Shares), default_factory=list)
 
     class Config(_Known):
@@ -170,12 +191,18 @@
         rows: list[tuple[str, Any]] = []
         for i, rack in enumerate(found.racks):
             value = getattr(rack, key)
-            rows += ([(f"racks[{i}].{key}", value)] if key == "name" else
-                     [(f"racks[{i}].{key}[{j}]", one) for j, one in enumerate(value)])
+            rows += (
+                [(f"racks[{i}].{key}", value)]
+                if key == "name"
+                else [(f"racks[{i}].{key}[{j}]", one) for j, one in enumerate(value)]
+            )
         if two := _twice(rows):
             raise Wrong(f"the {what} {two[2]!r} stands at {two[0]} too", two[1])
-    nets = [(f"racks[{i}].nets[{j}]", ipaddress.IPv4Network(net))
-            for i, rack in enumerate(found.racks) for j, net in enumerate(rack.nets)]
+    nets = [
+        (f"racks[{i}].nets[{j}]", ipaddress.IPv4Network(net))
+        for i, rack in enumerate(found.racks)
+        for j, net in enumerate(rack.nets)
+    ]
     for n, (way, net) in enumerate(nets):
         for before, other in nets[:n]:
             if net.overlaps(other):
--- a/opalwick/post/maintenance/resting.py
+++ b/opalwick/post/maintenance/resting.py
@@ -1,4 +1,5 @@
 """Whose workers get no deliveries while their rack is drained or away. Counters import this and no more."""
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -7,6 +8,7 @@
 
 class Resting:
     """By the rules `id:ID`, `zone:ZONE`, `net:CIDR`."""
+
     __slots__ = ("rules", "ids", "zones", "nets")
 
     def __init__(self, rules: Iterable[str] = ()) -> None:
@@ -16,7 +18,7 @@
         for rule in self.rules:
             kind, _, value = rule.partition(":")
             if kind == "net":
-                from ipaddress import IPv4Network   # no process needs it that has no such rule
+                from ipaddress import IPv4Network  # no process needs it that has no such rule
 
                 self.nets.append(IPv4Network(value))
             else:
@@ -34,6 +36,6 @@
 
         try:
             address = IPv4Address(host)
-        except ValueError:                          # a name: no range holds it
+        except ValueError:  # a name: no range holds it
             return False
         return any(address in net for net in self.nets)
--- a/opalwick/post/maintenance/shares.py
+++ b/opalwick/post/maintenance/shares.py
@@ -6,18 +6,19 @@
 given back, and who has not borrowed is still served. Nothing that was taken in is dropped. So at most a third
 more than the places is held, and a partner that stays within its share waits behind no more than that.
 """
+
 from __future__ import annotations
 
 import json
 from collections.abc import Mapping
 from typing import Any
 
-DEPTH = 3.0         # messages due to each slot: one that runs, and by right two that wait
+DEPTH = 3.0  # messages due to each slot: one that runs, and by right two that wait
 LENT = 1.0 / DEPTH  # part of the places up to which what others leave is lent: each slot busy, nobody waiting
 SOONEST, LATEST = 0.1, 5.0  # s of Retry-After: within a client's patience, and one in which a window changes
-STEP = 0.25         # part of its share that each lower priority leaves to the higher ones of the same partner
-LEAST = 0.25        # part that the lowest has: none is shut out by priority alone
-MEAN = 2.0          # s over which the pace of ends is taken
+STEP = 0.25  # part of its share that each lower priority leaves to the higher ones of the same partner
+LEAST = 0.25  # part that the lowest has: none is shut out by priority alone
+MEAN = 2.0  # s over which the pace of ends is taken
 
 
 def maxmin(wants: Mapping[str, float], weights: Mapping[str, float], whole: float) -> dict[str, float]:
@@ -42,9 +43,9 @@
 
     def __init__(self, partners: Mapping[str, str], weights: Mapping[str, float], now: float) -> None:
         self.partners, self.weights = dict(partners), dict(weights)
-        self.places = 0.0                           # messages due that this counter may hold
-        self.held: dict[str, int] = {}              # by partner
-        self.wanted: dict[str, float] = {}          # of late: what lends no more than it does not want
+        self.places = 0.0  # messages due that this counter may hold
+        self.held: dict[str, int] = {}  # by partner
+        self.wanted: dict[str, float] = {}  # of late: what lends no more than it does not want
         self.prios: dict[str, set[int]] = {}
         self.ends, self.pace, self.at = 0, 0.0, now
         self.taken = 0
--- a/opalwick/post/maintenance/state.py
+++ b/opalwick/post/maintenance/state.py
@@ -3,6 +3,7 @@
 It changes as a whole; what counters and depots are told follows from it (`rules`, `depots`), so that nothing
 is done that is not saved, and nothing is saved that is not done.
 """
+
 from __future__ import annotations
 
 import json
@@ -16,8 +17,8 @@
 RUNNING, PAUSED, ABORTING, DONE, ABORTED = "running", "paused", "aborting", "done", "aborted"
 OVER = (DONE, ABORTED)
 WAITING, DRAINING, AWAY, BACK, LOST = "waiting", "draining", "away", "back", "lost"
-RESTING = (DRAINING, AWAY, LOST)    # racks whose workers get nothing
-LOG = 200           # entries of the log that are kept: a window of twenty racks has a hundred
+RESTING = (DRAINING, AWAY, LOST)  # racks whose workers get nothing
+LOG = 200  # entries of the log that are kept: a window of twenty racks has a hundred
 
 _DECLARED = BasicDecoder(Declaration)
 
@@ -25,27 +26,28 @@
 @dataclass(frozen=True, slots=True)
 class Course:
     """How it stands with one rack."""
+
     state: str = WAITING
-    for_s: float = 0.0                      # in this state, when it was saved
-    ids: tuple[str, ...] = ()               # workers that were there as it was handed over
-    slots: dict[str, int] = field(default_factory=dict)     # and their slots, by service
-    lives: dict[str, int] = field(default_factory=dict)     # and its machines'
-    depots: tuple[str, ...] = ()            # of these, to be emptied: not those that were so before
-    recalled: bool = False                  # it is wanted back: a need is hurt
-    as_is: bool = False                     # an operator says that it is back, whatever its lives are
+    for_s: float = 0.0  # in this state, when it was saved
+    ids: tuple[str, ...] = ()  # workers that were there as it was handed over
+    slots: dict[str, int] = field(default_factory=dict)  # and their slots, by service
+    lives: dict[str, int] = field(default_factory=dict)  # and its machines'
+    depots: tuple[str, ...] = ()  # of these, to be emptied: not those that were so before
+    recalled: bool = False  # it is wanted back: a need is hurt
+    as_is: bool = False  # an operator says that it is back, whatever its lives are
 
 
 @dataclass(frozen=True, slots=True)
 class State:
-    serial: int                             # of the window: grows with each that is started
+    serial: int  # of the window: grows with each that is started
     declared: Declaration
     steps: tuple[tuple[str, ...], ...]
     racks: dict[str, Course]
     phase: str = RUNNING
-    at: int = 0                             # of the steps
+    at: int = 0  # of the steps
     ran_s: float = 0.0
-    lost: dict[str, float] = field(default_factory=dict)    # by tenant: slot-seconds away
-    fair: dict[str, float] = field(default_factory=dict)    # as planned: the least per slot and weight
+    lost: dict[str, float] = field(default_factory=dict)  # by tenant: slot-seconds away
+    fair: dict[str, float] = field(default_factory=dict)  # as planned: the least per slot and weight
     log: tuple[dict[str, Any], ...] = ()
 
     def of(self, *states: str) -> list[str]:
@@ -81,6 +83,8 @@
     given["declared"] = _DECLARED.decode(given["declared"])
     given["steps"] = tuple(map(tuple, given["steps"]))
     given["log"] = tuple(given["log"])
-    given["racks"] = {name: Course(**(course | {key: tuple(course[key]) for key in ("ids", "depots")}))
-                      for name, course in given["racks"].items()}
+    given["racks"] = {
+        name: Course(**(course | {key: tuple(course[key]) for key in ("ids", "depots")}))
+        for name, course in given["racks"].items()
+    }
     return State(**given)
--- a/opalwick/post/names.py
+++ b/opalwick/post/names.py
@@ -1,4 +1,5 @@
 """Names of messages: who took it, which of its, and where it is kept. They fit `X-Msg-Id` (64 letters)."""
+
 from __future__ import annotations
 
 import zlib
--- a/opalwick/post/office/agent.py
+++ b/opalwick/post/office/agent.py
@@ -1,4 +1,5 @@
 """An office as a process: workers' and operators' connections, its disk in a thread, its links, its time."""
+
 from __future__ import annotations
 
 import json
@@ -22,10 +23,10 @@
 from opalwick.transport.limits import Limits, within
 from opalwick.transport.pulse import Pulse as Standing
 
-BODY = 4 << 20      # octets of a call: a configuration of ten thousand routes
+BODY = 4 << 20  # octets of a call: a configuration of ten thousand routes
 REMEMBER = 0.5  # s between looks whether the directory has changed: what is lost of it is told again anyway
-ANSWERED = 1.0      # s that calls which were read may take yet: callers wait no longer
-LOOK = 0.02         # s between looks whether what rests on this office is elsewhere
+ANSWERED = 1.0  # s that calls which were read may take yet: callers wait no longer
+LOOK = 0.02  # s between looks whether what rests on this office is elsewhere
 
 
 def limits(settings: Settings) -> Limits:
@@ -35,6 +36,7 @@
 
 class Calling(Conversation):
     """A connection of a worker or an operator."""
+
     house: Any
 
     def whole(self, message: Message, now: float) -> None:
@@ -42,8 +44,9 @@
         try:
             self.house.called(call)
         except Malformed as problem:
-            call.answer(problem.status, json.dumps({"err": problem.text}).encode(),
-                        "Content-Type: application/json")
+            call.answer(
+                problem.status, json.dumps({"err": problem.text}).encode(), "Content-Type: application/json"
+            )
 
 
 class OfficeShell(Shell):
@@ -53,15 +56,15 @@
         self.disk, self.settings = Disk(settings.datadir), settings
         now = time.monotonic()
         stored = self.disk.load()
-        if self.disk.lost:                      # whatever its settings say, this is no first start
+        if self.disk.lost:  # whatever its settings say, this is no first start
             settings = replace(settings, bootstrap=False)
             events.say(208, blank=True)
         super().__init__(Office(settings, int(time.time() * 1000), now, stored), process)
         self.role.recall(self.disk.remembered())
-        self.threads = ThreadPool(1)                # a disk that stalls must not stop the beats
+        self.threads = ThreadPool(1)  # a disk that stalls must not stop the beats
         self.saving = Event()
         self.limits = limits(settings)
-        self.pulse = Standing(now)                  # whether this process stood still
+        self.pulse = Standing(now)  # whether this process stood still
         self.door: Any = None
 
     def called(self, call: Call) -> None:
@@ -125,7 +128,7 @@
         while not self.role.gone:
             gevent.sleep(LOOK)
             self.role.clock(time.monotonic())
-        accepting.kill()                        # what was not accepted was not read: the caller goes on
+        accepting.kill()  # what was not accepted was not read: the caller goes on
         until = time.monotonic() + ANSWERED
         while self.door.conversations and time.monotonic() < until:
             gevent.sleep(LOOK)
--- a/opalwick/post/office/disk.py
+++ b/opalwick/post/office/disk.py
@@ -1,5 +1,6 @@
 """An office's disk: one record in sqlite3, written whole and synced before `save` returns; and a memory of
 the directory, for a start at which nobody has said yet that he is there."""
+
 from __future__ import annotations
 
 import os
@@ -21,7 +22,7 @@
     def __init__(self, folder: str) -> None:
         os.makedirs(folder, exist_ok=True)
         path = os.path.join(folder, "office.sqlite3")
-        self.lost = False                           # its record was there, and cannot be read any more
+        self.lost = False  # its record was there, and cannot be read any more
         try:
             self.open(folder, path)
         except sqlite3.Error as problem:
@@ -32,7 +33,7 @@
             self.lost = True
 
     def open(self, folder: str, path: str) -> None:
-        self.db = database(path, 100)           # pages: a change is a few
+        self.db = database(path, 100)  # pages: a change is a few
         with closed_if_it_fails(self.db):
             self.db.execute(
                 "create table if not exists office (one integer primary key check (one = 1),"
@@ -48,7 +49,8 @@
 
     def load(self) -> Stored | None:
         found = self.db.execute(
-            "select promised, view, member, conf, blank, voted, sum from office").fetchone()
+            "select promised, view, member, conf, blank, voted, sum from office"
+        ).fetchone()
         if found is None:
             return None
         if found[6] is not None and found[6] != sum_of(*found[:6]):
@@ -58,8 +60,14 @@
 
     def save(self, stored: Stored) -> None:
         """Durable when it returns; sqlite3.Error otherwise."""
-        fields = (stored.promised, stored.view, int(stored.member), stored.conf, int(stored.blank),
-                  stored.voted)
+        fields = (
+            stored.promised,
+            stored.view,
+            int(stored.member),
+            stored.conf,
+            int(stored.blank),
+            stored.voted,
+        )
         self.db.execute("begin immediate")
         try:
             self.db.execute(
--- a/opalwick/post/office/duties.py
+++ b/opalwick/post/office/duties.py
@@ -4,16 +4,17 @@
 while clocks run alike. A voter that has just started grants nothing for the longest span: it may have granted
 before.
 """
+
 from __future__ import annotations
 
-LONGEST = 1.5       # s of a lease at most: what a duty rests for after its holder's death
+LONGEST = 1.5  # s of a lease at most: what a duty rests for after its holder's death
 
 
 class Duties:
     def __init__(self, now: float, first: bool) -> None:
         """`first`: the system's first start: nothing can have been granted."""
         self.silent_until = now if first else now + LONGEST
-        self.held: dict[str, tuple[str, float]] = {}    # duty: process, until
+        self.held: dict[str, tuple[str, float]] = {}  # duty: process, until
 
     def joins(self, now: float) -> None:
         """It has become a voter: a majority that it was not part of may have granted until it heard of it, a
@@ -28,7 +29,7 @@
         granted = []
         for duty in duties:
             holder, until = self.held.get(duty, ("", 0.0))
-            if span <= 0.0:                     # given back
+            if span <= 0.0:  # given back
                 if holder == who:
                     del self.held[duty]
             elif holder == who or until <= now:
--- a/opalwick/post/office/notices.py
+++ b/opalwick/post/office/notices.py
@@ -4,6 +4,7 @@
 office that takes in a notice tells all that it is linked to before it answers, so that every process in touch
 with a majority hears of it; an office that reaches no majority cannot confirm it, and says so.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
@@ -13,9 +14,9 @@
 from opalwick.post.station import Link
 from opalwick.post.wire_pb2 import Known, News, Spread, View
 
-PATIENCE = 0.85     # s for a majority's answers: callers wait a second
-LIFE_SHIFT = 20     # bits for the calls of one life of a process
-MOST = 1024         # notices that wait at once; over it they are refused
+PATIENCE = 0.85  # s for a majority's answers: callers wait a second
+LIFE_SHIFT = 20  # bits for the calls of one life of a process
+MOST = 1024  # notices that wait at once; over it they are refused
 
 Answer = Callable[[bool], None]
 
--- a/opalwick/post/office/numbers.py
+++ b/opalwick/post/office/numbers.py
@@ -4,6 +4,7 @@
 it: a restart, a takeover, a lost disk. The history is bounded; a number older than all of it was superseded
 long ago, and sending it again alters nothing.
 """
+
 from __future__ import annotations
 
 import json
@@ -12,8 +13,8 @@
 
 from opalwick.post.wire_pb2 import Conf, Confirmed
 
-HISTORY = 128       # earlier numbers kept, 22 bytes each: minutes of changes in quick succession
-DIGEST_BYTES = 12   # two contents share a digest with a chance of 2**-96
+HISTORY = 128  # earlier numbers kept, 22 bytes each: minutes of changes in quick succession
+DIGEST_BYTES = 12  # two contents share a digest with a chance of 2**-96
 
 
 class Match(Enum):
@@ -28,7 +29,7 @@
     """Of a configuration as sent; equal for two JSON texts that differ in blanks or the order of fields."""
     try:
         body = json.dumps(json.loads(body), sort_keys=True, separators=(",", ":")).encode()
-    except (ValueError, RecursionError):        # not JSON: compared byte by byte
+    except (ValueError, RecursionError):  # not JSON: compared byte by byte
         pass
     return blake2b(body, digest_size=DIGEST_BYTES).digest()
 
--- a/opalwick/post/office/registry.py
+++ b/opalwick/post/office/registry.py
@@ -3,15 +3,16 @@
 Each beat goes on to the other offices, so that each knows when a worker was last heard; counters hear only
 what changes. No socket and no clock.
 """
+
 from __future__ import annotations
 
 from opalwick.post.beats import Beat
 from opalwick.post.directory import Directory
 from opalwick.post.wire_pb2 import News, Node, Worker
 
-MISSED = 3.5        # beats missed until a worker counts as silent: two lost calls and a late one
+MISSED = 3.5  # beats missed until a worker counts as silent: two lost calls and a late one
 MISSING = 30.0  # s without a link until a node counts as gone: no restart and no cut that heals takes so long
-FORGOTTEN = 120.0   # s that one that left is remembered: far longer than any word of it is on its way
+FORGOTTEN = 120.0  # s that one that left is remembered: far longer than any word of it is on its way
 
 
 class Registry:
@@ -20,13 +21,15 @@
         self.directory = Directory()
         self.heard_at: dict[str, float] = {}
         self.chill_to: dict[str, float] = {}
-        self.linked_at: dict[str, float] = {}       # by node
+        self.linked_at: dict[str, float] = {}  # by node
 
     @staticmethod
     def differs(worker: Worker, known: Worker | None) -> bool:
         """Whether counters have to hear of it."""
-        return known is None or any(getattr(worker, name) != getattr(known, name) for name in (
-            "svc", "host", "port", "zone", "capacity", "draining", "gone", "silent", "disputed"))
+        return known is None or any(
+            getattr(worker, name) != getattr(known, name)
+            for name in ("svc", "host", "port", "zone", "capacity", "draining", "gone", "silent", "disputed")
+        )
 
     def beat(self, now: float, beat: Beat) -> tuple[News, bool]:
         """What the other offices are told, and whether counters are told as well."""
@@ -60,7 +63,7 @@
         self.linked_at[node.node] = now
         known = self.directory.nodes.get(node.node)
         if known is not None and known.life == node.life:
-            node.count = known.count + known.gone   # back, though it was taken to be gone
+            node.count = known.count + known.gone  # back, though it was taken to be gone
         return self.directory.merge(News(nodes=[node]))
 
     def missing(self, now: float, linked: set[str]) -> News:
@@ -81,7 +84,7 @@
         """What was new of it, and whether it changes anything for counters."""
         known = {worker.id: self.directory.workers.get(worker.id) for worker in news.workers}
         fresh = self.directory.merge(news)
-        fresh.whole = False                     # what is passed on is only what is new
+        fresh.whole = False  # what is passed on is only what is new
         for worker in fresh.workers:
             self.heard_at[worker.id] = self.now
             if worker.chill > 0:
@@ -94,7 +97,7 @@
         self.now = now
         news = News()
         for id in [id for id in self.heard_at if id not in self.directory.workers]:
-            del self.heard_at[id]               # it was one of too many that have left
+            del self.heard_at[id]  # it was one of too many that have left
             self.chill_to.pop(id, None)
         for id, worker in list(self.directory.workers.items()):
             age = now - self.heard_at.get(id, now)
@@ -113,6 +116,6 @@
 
     def whole(self, now: float) -> News:
         news = self.directory.whole()
-        for worker in news.workers:             # a copy
+        for worker in news.workers:  # a copy
             worker.chill = max(0.0, self.chill_to.get(worker.id, now) - now)
         return news
--- a/opalwick/post/office/role.py
+++ b/opalwick/post/office/role.py
@@ -2,6 +2,7 @@
 
 The shell takes `batch()` to the disk and reports it with `synced()`.
 """
+
 from __future__ import annotations
 
 import json
@@ -44,11 +45,11 @@
 from opalwick.protocol.conversation import Call
 from opalwick.protocol.http import Malformed, Message
 
-WAIT = 0.85         # s for the primary's answer: callers wait a second
-CALLS = 256         # that wait for the primary at once; over it 503
-CONTACT = 1.0       # s since an office was heard that it counts as in touch: four pulses
-HANDOVER = 0.25     # share of the time to end in which what rests on this office goes elsewhere
-LEAVE = 0.3         # s from the order to end: what was asked is answered
+WAIT = 0.85  # s for the primary's answer: callers wait a second
+CALLS = 256  # that wait for the primary at once; over it 503
+CONTACT = 1.0  # s since an office was heard that it counts as in touch: four pulses
+HANDOVER = 0.25  # share of the time to end in which what rests on this office goes elsewhere
+LEAVE = 0.3  # s from the order to end: what was asked is answered
 
 
 def packed(found: Configuration, said: bytes) -> bytes:
@@ -70,12 +71,29 @@
         )
         for r in found.routing
     ]
-    services = [Service(name=s.name, probe=s.probe, max_conns=s.max_conns, rate=s.rate_per_s, dedup=s.dedup,
-                        static=s.static or "") for s in found.backends]
+    services = [
+        Service(
+            name=s.name,
+            probe=s.probe,
+            max_conns=s.max_conns,
+            rate=s.rate_per_s,
+            dedup=s.dedup,
+            static=s.static or "",
+        )
+        for s in found.backends
+    ]
     caps = found.caps
-    return Conf(gen=found.gen, routes=routes, services=services, head_bytes=caps.head_bytes,
-                body_bytes=caps.body_bytes, head=caps.head_ms / 1000.0, idle=caps.idle_ms / 1000.0,
-                said=said, digest=numbers.digest(said)).SerializeToString()
+    return Conf(
+        gen=found.gen,
+        routes=routes,
+        services=services,
+        head_bytes=caps.head_bytes,
+        body_bytes=caps.body_bytes,
+        head=caps.head_ms / 1000.0,
+        idle=caps.idle_ms / 1000.0,
+        said=said,
+        digest=numbers.digest(said),
+    ).SerializeToString()
 
 
 def racked(body: bytes) -> bytes:
@@ -114,11 +132,11 @@
         self.waiting: dict[int, tuple[float, Callable[[int, bytes], None]]] = {}
         self.calls = first_call(life)
         self.notices = Notices(self.views, life)
-        self.left_at = 0.0                          # when it was told to end
+        self.left_at = 0.0  # when it was told to end
         self.last_conf = b""
-        self.empty: dict[str, bool] = {}            # depots that say that nothing is left there
+        self.empty: dict[str, bool] = {}  # depots that say that nothing is left there
         self.votes = self.ip in self.views.voters
-        self.changed = False                        # the directory, since it was remembered
+        self.changed = False  # the directory, since it was remembered
         self.told_held: dict[Link, dict[str, str]] = {}
         self.window = Window(self)
         for ip in self.views.voters:
@@ -131,8 +149,7 @@
     # ---- links
 
     def pulse(self, link: Link) -> Pulse:
-        return Pulse(settled=self.views.settled, gen=max(0, self.views.known_gen),
-                     leaving=self.views.leaving)
+        return Pulse(settled=self.views.settled, gen=max(0, self.views.known_gen), leaving=self.views.leaving)
 
     def up(self, link: Link) -> None:
         peer = link.peer
@@ -140,8 +157,9 @@
             self.views.linked.add(peer.ip)
         link.say("news", self.registry.whole(self.now))
         link.say("pulse", self.beat(link))
-        fresh = self.registry.node(self.now, Node(node=peer.node, role=peer.role, zone=peer.zone,
-                                                          ip=peer.ip, life=peer.life))
+        fresh = self.registry.node(
+            self.now, Node(node=peer.node, role=peer.role, zone=peer.zone, ip=peer.ip, life=peer.life)
+        )
         self.spread(fresh, True, link.peer.node)
 
     def down(self, link: Link) -> None:
@@ -190,9 +208,16 @@
                 held = self.duties.holders(self.now)
                 same = self.told_held.get(link) == held
                 self.told_held[link] = held
-                link.say("leased", Leased(call=word.call, granted=granted, held={} if same else held,
-                                          same=same,
-                                          voters=len(self.views.voters) if self.votes else 0))
+                link.say(
+                    "leased",
+                    Leased(
+                        call=word.call,
+                        granted=granted,
+                        held={} if same else held,
+                        same=same,
+                        voters=len(self.views.voters) if self.votes else 0,
+                    ),
+                )
 
     def take_news(self, link: Link, news: News) -> None:
         """Of another office; what is new of it goes on to all but offices before anything else is said."""
@@ -246,8 +271,12 @@
         if to == self.ip:
             v = self.views
             own: dict[str, Callable[[str, Any], None]] = {
-                "vote": v.vote, "installed": v.installs, "written": v.written, "install": v.install,
-                "write": v.write}
+                "vote": v.vote,
+                "installed": v.installs,
+                "written": v.written,
+                "install": v.install,
+                "write": v.write,
+            }
             own[kind](to, word)
         elif (link := self.office(to)) is not None:
             link.say(kind, word)
@@ -321,16 +350,27 @@
             v.put(self.wait(answer), told.SerializeToString())
         elif what == "retire":
             # what is refused here is refused for good: an office that was replaced must not do so
-            v.read(self.wait(lambda status, _: self.retire(body.decode(), answer) if status == OK
-                             else answer(status, b"")))
+            v.read(
+                self.wait(
+                    lambda status, _: (
+                        self.retire(body.decode(), answer) if status == OK else answer(status, b"")
+                    )
+                )
+            )
         elif what == "home":
             self.put_home(Home.FromString(body), answer)
         elif what.startswith("window/"):
             self.window.carry_out(what[7:], body, answer)
         elif what == "retired":
-            v.read(self.wait(lambda status, _: self.retired(body.decode(), answer) if status == OK
-                             else answer(status, b"")))
+            v.read(
+                self.wait(
+                    lambda status, _: (
+                        self.retired(body.decode(), answer) if status == OK else answer(status, b"")
+                    )
+                )
+            )
         else:
+
             def read(status: int, _: bytes) -> None:
                 if status != 200:
                     answer(status, b"")
@@ -340,6 +380,7 @@
                     answer(200 if said else 404, said)
                 else:
                     answer(404, b"")
+
             v.read(self.wait(read))
 
     def put_home(self, home: Home, answer: Callable[[int, bytes], None]) -> None:
@@ -347,7 +388,7 @@
         v, key, home.by = self.views, home.by, ""
         newest = Conf.FromString(v.newest())
         if not newest.gen:
-            return answer(503, b"")             # before any configuration nobody is a partner
+            return answer(503, b"")  # before any configuration nobody is a partner
         if home.gen <= newest.home.gen:
             return v.put(self.wait(answer), v.newest())
         if newest.home.keepers and all(key != keeper.digest for keeper in newest.home.keepers):
@@ -369,7 +410,7 @@
         if not self.keeps_messages(name):
             return answer(404, no_machine(name))
         if not newest.gen:
-            return answer(503, b"")             # before any configuration there is nothing to keep
+            return answer(503, b"")  # before any configuration there is nothing to keep
         if name in newest.retiring:
             return v.put(self.wait(answer), v.newest())
         left = {node.node for node in self.nodes("depot")} - {name, *newest.retiring}
@@ -380,7 +421,7 @@
         there = [link.peer.node for link in self.of("depot") if self.now - link.heard_at < 1.0]
         here = left.intersection(there)
         if len(here) < enough or self.at_home(name, newest, here) < enough:
-            return answer(503, b"")             # one is away: the order may come again
+            return answer(503, b"")  # one is away: the order may come again
         newest.retiring.append(name)
         newest.seq += 1
         self.event(212, depot=name, left=len(left))
@@ -436,6 +477,7 @@
     def forwarded(self, link: Link, word: Forward) -> None:
         def answer(status: int, body: bytes) -> None:
             link.say("forwarded", Forwarded(call=word.call, status=status, body=body))
+
         if self.views.state != "primary":
             return answer(503, b"")
         self.carry_out(word.what, word.body, answer)
@@ -458,8 +500,11 @@
             case b"conf", b"PUT", False:
                 match check(message.body):
                     case Success(found):
-                        self.at_primary("put", packed(found, message.body),
-                                        lambda s, b: self.told_conf(call, found.gen, s))
+                        self.at_primary(
+                            "put",
+                            packed(found, message.body),
+                            lambda s, b: self.told_conf(call, found.gen, s),
+                        )
                     case failure:
                         raise Malformed(400, failure.failure())
             case b"conf", b"GET", False:
@@ -475,11 +520,14 @@
                 what = "window/start" if message.method == b"PUT" else "window/get"
                 self.at_primary(what, message.body, lambda s, b: self.told_window(call, s, b))
             case b"maintenance", b"POST", True if name in ("pause", "resume", "abort", "back"):
-                self.at_primary("window/" + name, racked(message.body) if name == "back" else b"",
-                                lambda s, b: self.told_window(call, s, b))
-            case (b"workers" | b"retire"), _, False:
+                self.at_primary(
+                    "window/" + name,
+                    racked(message.body) if name == "back" else b"",
+                    lambda s, b: self.told_window(call, s, b),
+                )
+            case ((b"workers" | b"retire"), _, False):
                 raise Malformed(404, "the path names nobody")
-            case (b"workers" | b"conf" | b"home" | b"retire" | b"maintenance"), _, _:
+            case ((b"workers" | b"conf" | b"home" | b"retire" | b"maintenance"), _, _):
                 raise Malformed(405, "no such method here")
             case _:
                 raise Malformed(404, "no such call")
@@ -504,15 +552,16 @@
         if status == CONFLICT:
             why = f"gen {number} stands for another configuration: take a higher number"
             call.answer(CONFLICT, json.dumps({"err": why}).encode(), "Content-Type: application/json")
-        elif status == SUPERSEDED:              # the highest number prevails: it alters nothing
+        elif status == SUPERSEDED:  # the highest number prevails: it alters nothing
             self.ok(call, json.dumps({"gen": number, "superseded": True}).encode())
         else:
             self.told(call, status, b"")
 
     def unable(self, call: Call, why: str) -> None:
         """Nothing was promised: the caller goes on to another office."""
-        call.answer(UNABLE, json.dumps({"err": why}).encode(), "Content-Type: application/json",
-                    "Retry-After: 1")
+        call.answer(
+            UNABLE, json.dumps({"err": why}).encode(), "Content-Type: application/json", "Retry-After: 1"
+        )
 
     def window_moved(self, serial: int, phase: str, what: str, at: float) -> None:
         self.event(215, window=serial, phase=phase, what=what, at=at)
@@ -521,8 +570,9 @@
         if status == 200 or not body:
             self.told(call, status, body)
         else:
-            call.answer(status, body, "Content-Type: application/json",
-                        *(["Retry-After: 1"] if status == 503 else []))
+            call.answer(
+                status, body, "Content-Type: application/json", *(["Retry-After: 1"] if status == 503 else [])
+            )
 
     def homed(self, call: Call, message: Message) -> None:
         """Another policy of where partners' work may be."""
@@ -579,6 +629,7 @@
                 self.ok(call)
             else:
                 self.unable(call, "this scheduler cannot reach a majority")
+
         self.notices.tell(self.now, told, self.of("office"), answer)
 
     # ---- what it remembers of the directory
@@ -600,7 +651,7 @@
 
     def tick(self) -> None:
         self.views.tick(self.now)
-        if self.views.reaches:                  # else it may be this office that hears nothing
+        if self.views.reaches:  # else it may be this office that hears nothing
             self.spread(self.registry.tick(self.now), True, offices=False)
             if self.views.active:
                 self.spread(self.registry.missing(self.now, {*self.links, self.node}), True)
@@ -625,11 +676,20 @@
     def gone(self) -> bool:
         """Nothing rests on it any more, or the time that it had for that is over."""
         age = self.now - self.left_at
-        return bool(self.left_at) and age >= LEAVE and (
-            not self.views.needed or age >= HANDOVER * self.settings.bounds.grace)
+        return (
+            bool(self.left_at)
+            and age >= LEAVE
+            and (not self.views.needed or age >= HANDOVER * self.settings.bounds.grace)
+        )
 
     def figures(self) -> dict[str, Any]:
         v = self.views
-        return {"epoch": v.view.epoch, "state": v.state, "gen": v.known_gen, "voters": len(v.voters),
-                "workers": sum(not (w.gone or w.silent) for w in self.directory.workers.values()),
-                "nodes": len(self.directory.nodes), "duties": len(self.duties.holders(self.now))}
+        return {
+            "epoch": v.view.epoch,
+            "state": v.state,
+            "gen": v.known_gen,
+            "voters": len(v.voters),
+            "workers": sum(not (w.gone or w.silent) for w in self.directory.workers.values()),
+            "nodes": len(self.directory.nodes),
+            "duties": len(self.duties.holders(self.now)),
+        }
--- a/opalwick/post/office/status.py
+++ b/opalwick/post/office/status.py
@@ -1,4 +1,5 @@
 """What an office tells operators: the view, who is there, who holds which duty, and the configuration."""
+
 from __future__ import annotations
 
 import json
@@ -13,33 +14,54 @@
 
 
 def worker_state(worker: Any) -> str:
-    return ("gone" if worker.gone else "silent" if worker.silent else
-            "draining" if worker.draining else "up")
+    return "gone" if worker.gone else "silent" if worker.silent else "draining" if worker.draining else "up"
 
 
 def duties(role: Office) -> dict[str, Any]:
-    return {duty: {"holder": who, "until": until - role.now}
-            for duty, (who, until) in sorted(role.duties.held.items()) if until > role.now}
+    return {
+        duty: {"holder": who, "until": until - role.now}
+        for duty, (who, until) in sorted(role.duties.held.items())
+        if until > role.now
+    }
 
 
 def status(role: Office) -> dict[str, Any]:
     v, registry = role.views, role.registry
     return {
         "ctl": "%s:%d" % role.settings.binds.get("ctl", ("", 0)),
-        "state": v.state, "active": v.active, "settled": v.settled, "blank": v.blank, "member": v.member,
-        "epoch": v.view.epoch, "promised": v.promised, "primary": v.primary,
+        "state": v.state,
+        "active": v.active,
+        "settled": v.settled,
+        "blank": v.blank,
+        "member": v.member,
+        "epoch": v.view.epoch,
+        "promised": v.promised,
+        "primary": v.primary,
         "view": {"primary": v.view.primary, "members": list(v.view.members), "voters": v.voters},
         "hears_primary": since(role.now, v.beat_at),
         "voters_heard": {ip: since(role.now, at) for ip, at in sorted(v.heard_at.items())},
-        "conf": max(0, v.known_gen), "conf_here": max(0, v.read_key(v.conf)[0]),
-        "changes": len(v.queue), "reads": len(v.reads), "calls_waiting": len(role.waiting),
+        "conf": max(0, v.known_gen),
+        "conf_here": max(0, v.read_key(v.conf)[0]),
+        "changes": len(v.queue),
+        "reads": len(v.reads),
+        "calls_waiting": len(role.waiting),
         "grants_in": max(0.0, role.duties.silent_until - role.now),
         "duties": duties(role),
         "workers": [
-            {"id": w.id, "svc": w.svc, "zone": w.zone, "address": f"{w.host}:{w.port}", "gen": w.gen,
-             "capacity": w.capacity, "state": worker_state(w), "calls": w.calls,
-             "age": since(role.now, registry.heard_at.get(w.id))}
-            for w in role.directory.workers.values()]}
+            {
+                "id": w.id,
+                "svc": w.svc,
+                "zone": w.zone,
+                "address": f"{w.host}:{w.port}",
+                "gen": w.gen,
+                "capacity": w.capacity,
+                "state": worker_state(w),
+                "calls": w.calls,
+                "age": since(role.now, registry.heard_at.get(w.id)),
+            }
+            for w in role.directory.workers.values()
+        ],
+    }
 
 
 def conf(role: Office) -> dict[str, Any]:
@@ -47,8 +69,14 @@
     v = role.views
     held = role.last_conf if v.active and role.last_conf else v.conf if v.member else b""
     found = Conf.FromString(held)
-    return {"node": role.node, "state": v.state, "epoch": v.view.epoch, "gen": int(found.gen),
-            "in_force": v.active and bool(held), "conf": json.loads(found.said) if found.said else None}
+    return {
+        "node": role.node,
+        "state": v.state,
+        "epoch": v.view.epoch,
+        "gen": int(found.gen),
+        "in_force": v.active and bool(held),
+        "conf": json.loads(found.said) if found.said else None,
+    }
 
 
 def home(role: Office, look: Any) -> dict[str, Any]:
@@ -59,10 +87,12 @@
     found = Conf.FromString(held)
     policy = in_force(found, role.settings)
     return {
-        "in_force": there["in_force"], "policy": int(found.home.gen),
+        "in_force": there["in_force"],
+        "policy": int(found.home.gen),
         "said": json.loads(found.home.said) if found.home.said else None,
         "zones": {zone: policy.country(zone) for zone in role.settings.zones} if policy is not None else {},
-        "depots": {n.node: policy.country(n.zone) for n in role.nodes("depot")} if policy is not None else {}}
+        "depots": {n.node: policy.country(n.zone) for n in role.nodes("depot")} if policy is not None else {},
+    }
 
 
 def metrics(role: Office) -> list[Any]:
@@ -74,5 +104,10 @@
         ("primary", False, "Whether it is the primary, and a majority answers it.", [({}, float(v.active))]),
         ("settled", False, "Whether it is, or of late heard, a primary.", [({}, float(v.settled))]),
         ("blank", False, "Lost its disk, and does not vote yet.", [({}, float(v.blank))]),
-        ("workers_by_state", False, "That this office knows of.",
-         [({"service": svc, "state": state}, count) for (svc, state), count in sorted(states.items())])]
+        (
+            "workers_by_state",
+            False,
+            "That this office knows of.",
+            [({"service": svc, "state": state}, count) for (svc, state), count in sorted(states.items())],
+        ),
+    ]
--- a/opalwick/post/office/views.py
+++ b/opalwick/post/office/views.py
@@ -12,6 +12,7 @@
 
 Offices are known here by their ip: it stands in every process's settings.
 """
+
 from __future__ import annotations
 
 from collections.abc import Container
@@ -32,21 +33,21 @@
     Written,
 )
 
-BEAT = 0.2          # s between the primary's beats: a word a voter, lost only with the link
-LATE = 0.8          # s without a beat until a voter looks for another primary: four beats
-STEP = 0.3          # s by which voters differ in that, by their place in the list: a round of votes takes 0.1
+BEAT = 0.2  # s between the primary's beats: a word a voter, lost only with the link
+LATE = 0.8  # s without a beat until a voter looks for another primary: four beats
+STEP = 0.3  # s by which voters differ in that, by their place in the list: a round of votes takes 0.1
 EARLY = 0.25  # s after its start that a voter waits for a primary that is there: a beat, and a link's rise
-EARLY_STEP = 0.12   # s by which voters differ then: a link's rise and a round of votes
+EARLY_STEP = 0.12  # s by which voters differ then: a link's rise and a round of votes
 AT_ONCE = 0.05  # s by which they differ where a majority said that it hears no primary: some trips, a sync
-ROUND = 1.0         # s for votes or for a view to be installed: a sync and two trips, with room
-CALL = 0.8          # s that a call may wait for backups: callers give up after a second
-FEW = 64            # calls that may wait at once
+ROUND = 1.0  # s for votes or for a view to be installed: a sync and two trips, with room
+CALL = 0.8  # s that a call may wait for backups: callers give up after a second
+FEW = 64  # calls that may wait at once
 # s unheard until a voter's place is free for another office: over a restart of its process, and under what a
 # deployment gives a new machine until the next one may be lost
 AWAY = 2.0
 JOINED = 0.6  # s since the last office came that are waited for more, thrice at most: they join together
-GROWN = 8.0         # s from its start that a primary takes nothing while too few vote: twice a slow start
-MOST = 9            # voters: a core of more is judged by those that have just acknowledged something
+GROWN = 8.0  # s from its start that a primary takes nothing while too few vote: twice a slow start
+MOST = 9  # voters: a core of more is judged by those that have just acknowledged something
 
 
 # statuses of a put: it is in force, or was; the number stands for another content; it is older than what is
@@ -56,21 +57,23 @@
 
 STATUS = {numbers.Match.SAME: OK, numbers.Match.OTHER: CONFLICT, numbers.Match.UNKNOWN: SUPERSEDED}
 
-Key = tuple[int, int]   # of a configuration: its number, and changes beside it
+Key = tuple[int, int]  # of a configuration: its number, and changes beside it
 
 
 class Stored(NamedTuple):
     """What is on the disk, whole, at each write."""
+
     promised: int
     view: bytes
-    member: bool        # the configuration is that of a member of the view
-    conf: bytes         # a Conf, or empty
+    member: bool  # the configuration is that of a member of the view
+    conf: bytes  # a Conf, or empty
     blank: bool
-    voted: str = ""     # for whom, in the epoch promised
+    voted: str = ""  # for whom, in the epoch promised
 
 
 class Save(NamedTuple):
     """`then`: words for offices (for this one itself too), once it is synced."""
+
     stored: Stored
     then: tuple[tuple[str, str, Any], ...]
 
@@ -82,14 +85,16 @@
 
 class Read(NamedTuple):
     """A call that is answered with `status` once it is sure that no other office is the primary."""
+
     call: int
-    beat: int           # that a majority must answer
+    beat: int  # that a majority must answer
     until: float
     status: int
 
 
 class Pending:
     """A change on its way, and the calls that wait for it, each with its status once that is in force."""
+
     __slots__ = ("calls", "key", "conf", "until", "number", "needs")
 
     def __init__(self, call: int, key: Key, conf: bytes, until: float) -> None:
@@ -98,8 +103,9 @@
 
 
 class Views:
-    def __init__(self, me: str, copies: int, stored: Stored | None, voters: list[str], blank: bool,
-                 now: float) -> None:
+    def __init__(
+        self, me: str, copies: int, stored: Stored | None, voters: list[str], blank: bool, now: float
+    ) -> None:
         """`copies`: disks that must have a configuration. `voters`: at the first start, else as stored."""
         self.me, self.copies, self.now = me, copies, now
         first = stored is None and not blank
@@ -110,35 +116,35 @@
         self.conf, self.blank = stored.conf, stored.blank
         self.view = View.FromString(stored.view)
         self.key = (-1, 0)  # of what is in force, as primary: number, changes beside it
-        self.state = "follower"                     # candidate, installing, primary
-        self.epoch = 0                              # that this one stands for
-        self.beat_at = -1e9                         # when the primary was last heard, in this life
+        self.state = "follower"  # candidate, installing, primary
+        self.epoch = 0  # that this one stands for
+        self.beat_at = -1e9  # when the primary was last heard, in this life
         self.born = now
-        self.fresh = True                           # no primary, and nobody who stands, heard in this life
-        self.look_at = now + EARLY + EARLY_STEP * self.rank     # when it looks for another, if it hears none
-        self.primary = ""                           # who is believed to be it
-        self.in_force = b""                         # as primary: the newest that all members have
-        self.known_gen = -1                         # the newest that a primary said is committed
+        self.fresh = True  # no primary, and nobody who stands, heard in this life
+        self.look_at = now + EARLY + EARLY_STEP * self.rank  # when it looks for another, if it hears none
+        self.primary = ""  # who is believed to be it
+        self.in_force = b""  # as primary: the newest that all members have
+        self.known_gen = -1  # the newest that a primary said is committed
         self.began = now
-        self.unsettled = set[str]()                 # offices that said last that they hear no primary
-        self.linked = set[str]()                    # offices that there is a link to, by ip; the role's
+        self.unsettled = set[str]()  # offices that said last that they hear no primary
+        self.linked = set[str]()  # offices that there is a link to, by ip; the role's
         self.votes: dict[str, Vote] = {}
-        self.without: set[str] = set()              # backups that did not answer: the last to be chosen again
+        self.without: set[str] = set()  # backups that did not answer: the last to be chosen again
         self.installed: set[str] = set()
         self.offered: tuple[View, bytes] | None = None
         # a change of the voters: epoch of the view that it follows, voters, before
         self.next: tuple[int, list[str], list[str]] | None = None
-        self.base = self.view                       # the view that the one offered follows
-        self.joined: dict[str, float] = {}          # as primary: who answers and has no vote, since when
-        self.number = 0                             # of writes and beats
-        self.heard_at: dict[str, float] = {}        # as primary: voters' answers to beats
-        self.answered: dict[str, int] = {}          # the last beat that each answered
+        self.base = self.view  # the view that the one offered follows
+        self.joined: dict[str, float] = {}  # as primary: who answers and has no vote, since when
+        self.number = 0  # of writes and beats
+        self.heard_at: dict[str, float] = {}  # as primary: voters' answers to beats
+        self.answered: dict[str, int] = {}  # the last beat that each answered
         self.said_at = self.wrote_at = -1e9
-        self.queue: list[Pending] = []              # changes, the first is on its way
+        self.queue: list[Pending] = []  # changes, the first is on its way
         self.reads: list[Read] = []
-        self.leaving = False                        # this process is about to end
-        self.leavers = set[str]()                   # offices that said so of themselves
-        self.learned: dict[str, Vote] = {}          # blank: what the others said
+        self.leaving = False  # this process is about to end
+        self.leavers = set[str]()  # offices that said so of themselves
+        self.learned: dict[str, Vote] = {}  # blank: what the others said
         self.asked_at = -1e9
         self.saves: list[Save] = []
         self.sends: list[tuple[str, str, Any]] = []
@@ -162,8 +168,11 @@
     @staticmethod
     def enough(view: View, who: Container[str]) -> bool:
         """Whether they decide: a majority of that view's voters, and of those before them if it has any."""
-        return all(2 * sum(voter in who for voter in voters) > len(voters)
-                   for voters in (view.voters, view.before) if voters)
+        return all(
+            2 * sum(voter in who for voter in voters) > len(voters)
+            for voters in (view.voters, view.before)
+            if voters
+        )
 
     @property
     def short(self) -> bool:
@@ -209,8 +218,19 @@
         self.look_at = self.now + LATE + STEP * self.rank
 
     def save(self, *then: tuple[str, str, Any]) -> None:
-        self.saves.append(Save(Stored(self.promised, self.view.SerializeToString(), self.member, self.conf,
-                                      self.blank, self.voted), then))
+        self.saves.append(
+            Save(
+                Stored(
+                    self.promised,
+                    self.view.SerializeToString(),
+                    self.member,
+                    self.conf,
+                    self.blank,
+                    self.voted,
+                ),
+                then,
+            )
+        )
 
     def say(self, to: str, kind: str, word: Any) -> None:
         self.sends.append((to, kind, word))
@@ -228,7 +248,7 @@
         if self.state == "primary":
             self.events.append((204, {"epoch": self.epoch}))
         self.state = "follower"
-        for pending in self.queue:              # it may yet be in force: no clear answer
+        for pending in self.queue:  # it may yet be in force: no clear answer
             self.answers += [Answer(call, UNKNOWN) for call, _ in pending.calls]
         self.answers += [Answer(read.call, UNABLE) for read in self.reads]
         self.queue, self.reads, self.votes, self.offered, self.next = [], [], {}, None, None
@@ -261,17 +281,21 @@
                     self.follow()
                     self.look_at = now + STEP
                     return
-                self.stand(late)                # with another backup, where a majority goes along
+                self.stand(late)  # with another backup, where a majority goes along
             elif self.leaving and not self.queue:
                 if (heir := self.heir()) is not None:
                     return self.resign(heir)
             elif (out := self.members_that_leave()) and now - self.began > BEAT and not self.queue:
                 self.stand(out)
-            elif (now - self.began > (BEAT if self.view.before else LATE) and not self.queue
-                  and not self.reads and (change := self.change()) is not None):
+            elif (
+                now - self.began > (BEAT if self.view.before else LATE)
+                and not self.queue
+                and not self.reads
+                and (change := self.change()) is not None
+            ):
                 self.stand([m for m in self.view.voters if m not in self.lately], change)
             if self.queue and now - self.wrote_at >= BEAT:
-                self.say_write()                # a word may be lost with its link
+                self.say_write()  # a word may be lost with its link
             for pending in [p for p in self.queue if p.until <= now]:
                 self.answers += [Answer(call, UNKNOWN) for call, _ in pending.calls]
                 pending.calls, pending.until = [], 1e18
@@ -284,10 +308,10 @@
             if self.me in self.voters and now >= self.look_at and not self.leaving:
                 if self.reaches:
                     self.stand(sorted(self.leavers))
-                else:                           # an epoch that none can vote for only unsettles who follows
+                else:  # an epoch that none can vote for only unsettles who follows
                     self.look_at = now + STEP
         elif now - self.began <= ROUND:
-            if now - self.wrote_at >= BEAT:     # a word may be lost with its link
+            if now - self.wrote_at >= BEAT:  # a word may be lost with its link
                 self.wrote_at = now
                 if self.state == "installing":
                     self.offer_on()
@@ -344,14 +368,14 @@
         """As primary: who is to vote in the next view, and who before; none where nothing changes."""
         voters = self.voters
         if self.view.before:
-            return voters, []                   # this view is in force: those before it are done with
+            return voters, []  # this view is in force: those before it are done with
         fresh = sorted(self.joined)
         waits = [self.now - since for since in self.joined.values()]
         if waits and min(waits) < JOINED and max(waits) < 3.0 * JOINED:
             return None
         away = [v for v in voters if v != self.me and self.now - self.heard_at.get(v, self.began) >= AWAY]
         if fresh and len(away) < sum(v not in self.lately for v in voters):
-            return None                         # whose place it takes is seen in a moment
+            return None  # whose place it takes is seen in a moment
         after = list(voters)
         for ip in fresh:
             if away:
@@ -359,11 +383,12 @@
             elif len(after) < MOST:
                 after.append(ip)
         if not fresh and away and len(after) % 2 == 0:
-            after.remove(away[0])               # of an even number one less bears as many losses
+            after.remove(away[0])  # of an even number one less bears as many losses
         return (sorted(after), voters) if after != voters else None
 
-    def stand(self, without: list[str] | None = None,
-              change: tuple[list[str], list[str]] | None = None) -> None:
+    def stand(
+        self, without: list[str] | None = None, change: tuple[list[str], list[str]] | None = None
+    ) -> None:
         """`change`: of the voters, by the primary of the view in force."""
         count = max(len(self.voters), 1)
         place = self.voters.index(self.me)
@@ -376,25 +401,42 @@
         self.state, self.began, self.votes, self.installed = "candidate", self.now, {}, set()
         self.wrote_at = self.now
         self.without = set(without or ())
-        own = Vote(epoch=self.epoch, granted=True, promised=self.epoch, view=self.view, whole=self.member,
-                   conf=self.conf if self.member else b"")
-        self.save((self.me, "vote", own),
-                  *[(voter, "canvass", Canvass(epoch=self.epoch)) for voter in self.others()])
+        own = Vote(
+            epoch=self.epoch,
+            granted=True,
+            promised=self.epoch,
+            view=self.view,
+            whole=self.member,
+            conf=self.conf if self.member else b"",
+        )
+        self.save(
+            (self.me, "vote", own),
+            *[(voter, "canvass", Canvass(epoch=self.epoch)) for voter in self.others()],
+        )
         self.events.append((201, {"epoch": self.epoch}))
 
     def canvass(self, sender: str, word: Canvass) -> None:
         # it may have the same vote again, if the first was lost
         again = word.epoch == self.promised > self.view.epoch and self.voted == sender
-        free = (self.now - self.beat_at > 0.6 * LATE or self.primary == sender
-                or self.state in ("candidate", "installing"))
+        free = (
+            self.now - self.beat_at > 0.6 * LATE
+            or self.primary == sender
+            or self.state in ("candidate", "installing")
+        )
         granted = not self.blank and (again or word.epoch > self.promised and free and not self.active)
-        vote = Vote(epoch=word.epoch, granted=granted, view=self.view, whole=self.member,
-                    conf=self.conf if self.member else b"", blank=self.blank)
+        vote = Vote(
+            epoch=word.epoch,
+            granted=granted,
+            view=self.view,
+            whole=self.member,
+            conf=self.conf if self.member else b"",
+            blank=self.blank,
+        )
         if granted:
             self.promise(word.epoch)
             vote.promised, self.voted, self.fresh = self.promised, sender, False
             self.save((sender, "vote", vote))
-            self.look_at = self.now + LATE + STEP * self.rank   # it has its time
+            self.look_at = self.now + LATE + STEP * self.rank  # it has its time
         else:
             vote.promised = self.promised
             self.say(sender, "vote", vote)
@@ -405,7 +447,7 @@
         if self.state != "candidate" or word.epoch != self.epoch:
             return
         if not word.granted:
-            if word.promised > self.promised:   # the next time above it
+            if word.promised > self.promised:  # the next time above it
                 self.promise(word.promised)
                 self.look_at = self.now + STEP * self.rank
                 self.save()
@@ -413,17 +455,18 @@
         self.votes[sender] = word
         newest = self.newest_view()
         if self.me not in newest.voters:
-            self.follow()                       # others vote by now, and it does not
+            self.follow()  # others vote by now, and it does not
             self.look_at = self.now + AWAY
         elif self.enough(newest, self.votes):
             self.offer()
         elif sender != self.me and newest.epoch > self.view.epoch:
-            self.canvass_on()                   # those who vote are not those whom it knew of
+            self.canvass_on()  # those who vote are not those whom it knew of
 
     def newest_view(self) -> View:
         """Of those that votes have told."""
-        return max((vote.view for vote in self.votes.values()), key=lambda view: int(view.epoch),
-                   default=self.view)
+        return max(
+            (vote.view for vote in self.votes.values()), key=lambda view: int(view.epoch), default=self.view
+        )
 
     def canvass_on(self) -> None:
         """Those that have not voted."""
@@ -436,22 +479,26 @@
         newest = max(vote.view.epoch for vote in self.votes.values())
         whole = [vote for vote in self.votes.values() if vote.view.epoch == newest and vote.whole]
         if not whole:
-            return                              # of the newest members one must be asked: more votes may come
+            return  # of the newest members one must be asked: more votes may come
         view = next(vote.view for vote in whole)
         conf = max((vote.conf for vote in whole), key=self.read_key)
         voters, before = list(view.voters), list(view.before)
         if self.next is not None and self.next[0] == view.epoch:
             _, voters, before = self.next
-        able = sorted((voter for voter in self.votes if voter != self.me and voter in voters),
-                      key=lambda v: (v in self.without, v not in view.members, v))
+        able = sorted(
+            (voter for voter in self.votes if voter != self.me and voter in voters),
+            key=lambda v: (v in self.without, v not in view.members, v),
+        )
         if len(able) + 1 < min(self.copies, len(voters)):
             return
-        members = [self.me, *able[:self.copies - 1]]
+        members = [self.me, *able[: self.copies - 1]]
         if self.leavers.intersection(members) and self.others_may_vote():
-            return                              # a vote of one that stays is on its way
+            return  # a vote of one that stays is on its way
         self.base = view
-        self.offered = View(epoch=self.epoch, primary=self.me, members=members, voters=voters,
-                            before=before), conf
+        self.offered = (
+            View(epoch=self.epoch, primary=self.me, members=members, voters=voters, before=before),
+            conf,
+        )
         self.state, self.installed = "installing", set()
         self.offer_on()
 
@@ -514,8 +561,11 @@
         view, conf = self.offered
         if self.installed == set(view.members):
             self.offer_on()
-        if (self.installed >= set(view.members) and self.enough(view, self.installed)
-                and self.enough(self.base, self.installed)):
+        if (
+            self.installed >= set(view.members)
+            and self.enough(view, self.installed)
+            and self.enough(self.base, self.installed)
+        ):
             self.state, self.primary, self.began = "primary", self.me, self.now
             self.heard_at = {voter: self.now for voter in self.installed}
             self.answered = {}
@@ -540,10 +590,19 @@
             self.hears()
             if self.state != "follower":
                 self.follow()
-        elif word.epoch >= self.promised:       # a view that it has not heard of: it is offered again
+        elif word.epoch >= self.promised:  # a view that it has not heard of: it is offered again
             self.hears()
-        self.say(sender, "beaten", Beaten(epoch=self.view.epoch, number=word.number, promised=self.promised,
-                                          blank=self.blank, member=self.member))
+        self.say(
+            sender,
+            "beaten",
+            Beaten(
+                epoch=self.view.epoch,
+                number=word.number,
+                promised=self.promised,
+                blank=self.blank,
+                member=self.member,
+            ),
+        )
 
     def beaten(self, sender: str, word: Beaten) -> None:
         if word.promised > self.epoch and self.state in ("primary", "installing"):
@@ -625,14 +684,22 @@
 
     def write(self, sender: str, word: Write) -> None:
         if word.epoch != self.promised or word.epoch != self.view.epoch or not self.member:
-            return self.say(sender, "written", Written(epoch=word.epoch, number=word.number, ok=False,
-                                                       promised=self.promised))
+            return self.say(
+                sender,
+                "written",
+                Written(epoch=word.epoch, number=word.number, ok=False, promised=self.promised),
+            )
         if self.read_key(word.conf) >= self.read_key(self.conf):
-            self.conf = word.conf               # else a word that was said again, and came by a slower way
+            self.conf = word.conf  # else a word that was said again, and came by a slower way
         if sender != self.me:
             self.hears()
-        self.save((sender, "written", Written(epoch=word.epoch, number=word.number, ok=True,
-                                              promised=self.promised)))
+        self.save(
+            (
+                sender,
+                "written",
+                Written(epoch=word.epoch, number=word.number, ok=True, promised=self.promised),
+            )
+        )
 
     def written(self, sender: str, word: Written) -> None:
         if not word.ok:
@@ -670,9 +737,12 @@
         if not view.voters:
             return
         # of each set of voters as many as decide, itself not among them
-        if all(sum(s in voters and s != self.me for s in self.learned)
-               >= min(len(voters) // 2 + 1, len(voters) - (self.me in voters))
-               for voters in (view.voters, view.before) if voters):
+        if all(
+            sum(s in voters and s != self.me for s in self.learned)
+            >= min(len(voters) // 2 + 1, len(voters) - (self.me in voters))
+            for voters in (view.voters, view.before)
+            if voters
+        ):
             self.view = View.FromString(view.SerializeToString())
             self.promised, self.voted = max([view.epoch, *[v.promised for v in self.learned.values()]]), ""
             self.member, self.conf, self.blank = False, b"", False
--- a/opalwick/post/office/window.py
+++ b/opalwick/post/office/window.py
@@ -5,6 +5,7 @@
 conductor's number, and a disk refuses a write of an older one. So there is one conductor, and one that wakes
 late finds that nothing of it comes into force.
 """
+
 from __future__ import annotations
 
 import json
@@ -26,17 +27,18 @@
 if TYPE_CHECKING:
     from opalwick.post.office.role import Office
 
-LOOK = 0.25         # s between looks: as often as pulses come
-HEARD = 1.0         # s without a word after which a machine is not there: four pulses
-MEAN = 5.0          # s over which the demand is taken: a burst of a second is no reason to call a drain back
-DUE = 2.0           # s of a counter's last figures that still count in the demand
-WARM_IN = 8         # voters' silence and the like: entries of `why` that are told
+LOOK = 0.25  # s between looks: as often as pulses come
+HEARD = 1.0  # s without a word after which a machine is not there: four pulses
+MEAN = 5.0  # s over which the demand is taken: a burst of a second is no reason to call a drain back
+DUE = 2.0  # s of a counter's last figures that still count in the demand
+WARM_IN = 8  # voters' silence and the like: entries of `why` that are told
 
 Answer = Callable[[int, bytes], None]
 
 
 class Told:
     """What a counter said last."""
+
     __slots__ = ("at", "seq", "resting", "due")
 
     def __init__(self, at: float, word: Pulse) -> None:
@@ -48,10 +50,10 @@
     def __init__(self, office: Office) -> None:
         self.o, self.conductor = office, Conductor()
         self.counters: dict[str, Told] = {}
-        self.settled: dict[str, bool] = {}          # depots
+        self.settled: dict[str, bool] = {}  # depots
         self.demand: dict[str, float] = {}
         self.look_at = self.mean_at = -1e9
-        self.body = b""                             # of the state that is adopted
+        self.body = b""  # of the state that is adopted
 
     # ---- what is heard
 
@@ -91,8 +93,13 @@
         """Every counter that may send has applied the change, and has nothing out at who rests."""
         for node in self.o.nodes("counter"):
             told = self.counters.get(node.node)
-            if told is None or not self.there(node.node) or told.seq < conf.seq or told.resting or (
-                    self.o.now - told.at > HEARD):
+            if (
+                told is None
+                or not self.there(node.node)
+                or told.seq < conf.seq
+                or told.resting
+                or (self.o.now - told.at > HEARD)
+            ):
                 return False
         return True
 
@@ -101,9 +108,11 @@
         v, conf = o.views, Conf.FromString(o.views.in_force)
         static = {s.name for s in conf.services if s.static}
         chill = o.registry.chill_to
-        units = [Unit(w.id, w.svc, w.zone, w.host, w.capacity, chill.get(w.id, 0.0) <= o.now)
-                 for w in sorted(o.directory.workers.values(), key=lambda w: w.id)
-                 if not (w.gone or w.silent or w.draining or w.svc in static)]
+        units = [
+            Unit(w.id, w.svc, w.zone, w.host, w.capacity, chill.get(w.id, 0.0) <= o.now)
+            for w in sorted(o.directory.workers.values(), key=lambda w: w.id)
+            if not (w.gone or w.silent or w.draining or w.svc in static)
+        ]
         machines, missing = [], []
         known = {node.node: node for node in o.directory.nodes.values() if not node.gone}
         retiring = set(conf.retiring)
@@ -112,18 +121,30 @@
                 missing.append(name)
                 continue
             if node.role == "office" and node.ip not in v.voters:
-                continue                            # it has no part in the majority
-            settled = (node.role == "counter" or name == o.node
-                       or node.role == "depot" and self.settled.get(name, False)
-                       or node.role == "office" and o.now - v.heard_at.get(node.ip, -1e9) < HEARD)
+                continue  # it has no part in the majority
+            settled = (
+                node.role == "counter"
+                or name == o.node
+                or node.role == "depot"
+                and self.settled.get(name, False)
+                or node.role == "office"
+                and o.now - v.heard_at.get(node.ip, -1e9) < HEARD
+            )
             # one that is emptied takes nothing any more, whoever ordered it
             if not (node.role == "depot" and name in retiring and name not in self.own()):
                 machines.append(Machine(name, node.role, node.zone, int(node.life), settled))
         if o.node not in known:
             machines.append(Machine(o.node, "office", o.zone, o.life))
-        return Fleet(tuple(units), tuple(machines), len(v.voters), dict(self.demand), tuple(missing),
-                     frozenset(name for name, empty in o.empty.items() if empty and self.there(name)),
-                     self.rested(conf), max((route.limit for route in conf.routes), default=0.0))
+        return Fleet(
+            tuple(units),
+            tuple(machines),
+            len(v.voters),
+            dict(self.demand),
+            tuple(missing),
+            frozenset(name for name, empty in o.empty.items() if empty and self.there(name)),
+            self.rested(conf),
+            max((route.limit for route in conf.routes), default=0.0),
+        )
 
     def own(self) -> list[str]:
         """Depots that are emptied for the window."""
@@ -180,8 +201,11 @@
         if not self.o.views.active:
             return answer(503, fault("no primary can answer now"))
         if what == "get":
-            return answer(200, json.dumps(self.told()).encode()) if c.state is not None else answer(
-                404, fault("no window was ever started"))
+            return (
+                answer(200, json.dumps(self.told()).encode())
+                if c.state is not None
+                else answer(404, fault("no window was ever started"))
+            )
         if what == "start":
             newest = Conf.FromString(self.o.views.newest())
             found = check(body)
@@ -203,6 +227,7 @@
             if status != 200:
                 c.refused()
             answer(status, b"{}" if status == 200 else fault("it may be in force: ask again"))
+
         self.want(wanted, told)
 
     def told(self) -> dict[str, Any]:
@@ -218,15 +243,32 @@
         live: dict[str, int] = {}
         for unit in fleet.units:
             live[unit.svc] = live.get(unit.svc, 0) + (0 if unit.id in resting else unit.slots)
-        return {"window": s.declared.name, "serial": s.serial, "epoch": o.views.view.epoch,
-                "conductor": o.node, "phase": s.phase, "step": s.at, "steps": [list(one) for one in s.steps],
-                "ran_s": now.ran_s, "why": c.why[:WARM_IN], "late": c.late,
-                "racks": {name: {key: value for key, value in asdict(course).items() if key != "ids"}
-                          for name, course in now.racks.items()},
-                "lost": now.lost, "fair": s.fair, "log": list(s.log),
-                "live": live, "demand": self.demand, "declared": s.declared.json(),
-                "needs": [{"need": one.need, "has": one.has, "needs": one.needs}
-                          for one in hurt(s.declared, fleet, down)]}
+        return {
+            "window": s.declared.name,
+            "serial": s.serial,
+            "epoch": o.views.view.epoch,
+            "conductor": o.node,
+            "phase": s.phase,
+            "step": s.at,
+            "steps": [list(one) for one in s.steps],
+            "ran_s": now.ran_s,
+            "why": c.why[:WARM_IN],
+            "late": c.late,
+            "racks": {
+                name: {key: value for key, value in asdict(course).items() if key != "ids"}
+                for name, course in now.racks.items()
+            },
+            "lost": now.lost,
+            "fair": s.fair,
+            "log": list(s.log),
+            "live": live,
+            "demand": self.demand,
+            "declared": s.declared.json(),
+            "needs": [
+                {"need": one.need, "has": one.has, "needs": one.needs}
+                for one in hurt(s.declared, fleet, down)
+            ],
+        }
 
 
 def fault(why: str) -> bytes:
--- a/opalwick/post/operators.py
+++ b/opalwick/post/operators.py
@@ -3,6 +3,7 @@
 The calls stand in `openapi/operators.yaml`; what each role tells is in its `status.py`. Few connections, so
 that those who stay silent hold up nobody; only what reads a depot's disk waits, and that for this call alone.
 """
+
 from __future__ import annotations
 
 import json
@@ -30,8 +31,8 @@
 from opalwick.transport.limits import within
 from opalwick.transport.pulse import Pulse
 
-MOST = 6            # connections at once; at the brim the one that has waited longest goes
-AGAIN = 5.0         # s until an address that cannot be had is tried again
+MOST = 6  # connections at once; at the brim the one that has waited longest goes
+AGAIN = 5.0  # s until an address that cannot be had is tried again
 _ODD = re.compile(r"[^a-zA-Z0-9_]")
 JSON, TEXT = "application/json", "text/plain; version=0.0.4; charset=utf-8"
 
@@ -69,19 +70,41 @@
     conf, own = role.directory.conf, place(role.settings)
     nodes = {role.node: (role.role, role.zone, role.ip, role.life, False)} | {
         n.node: (n.role, n.zone, n.ip, n.life, n.gone)
-        for n in role.directory.nodes.values() if n.node != role.node}
-    links = [{"node": link.peer.node, "role": link.peer.role, "zone": link.peer.zone, "life": link.peer.life,
-              "age": role.now - link.heard_at, "waiting": getattr(link, "waiting", 0)}
-             for node in sorted(role.links) for link in role.links[node]]
+        for n in role.directory.nodes.values()
+        if n.node != role.node
+    }
+    links = [
+        {
+            "node": link.peer.node,
+            "role": link.peer.role,
+            "zone": link.peer.zone,
+            "life": link.peer.life,
+            "age": role.now - link.heard_at,
+            "waiting": getattr(link, "waiting", 0),
+        }
+        for node in sorted(role.links)
+        for link in role.links[node]
+    ]
     return {
-        "node": role.node, "role": role.role, "zone": role.zone, "region": role.settings.region,
-        "ip": role.ip, "operators": own[1] if own is not None else 0, "life": role.life,
-        "version": __version__, "conf": int(conf.gen) if conf is not None else 0,
-        "peak_mb": used.ru_maxrss / 1024.0, "cpu_s": used.ru_utime + used.ru_stime,
+        "node": role.node,
+        "role": role.role,
+        "zone": role.zone,
+        "region": role.settings.region,
+        "ip": role.ip,
+        "operators": own[1] if own is not None else 0,
+        "life": role.life,
+        "version": __version__,
+        "conf": int(conf.gen) if conf is not None else 0,
+        "peak_mb": used.ru_maxrss / 1024.0,
+        "cpu_s": used.ru_utime + used.ru_stime,
         "links": links,
-        "directory": [dict(zip(("node", "role", "zone", "ip", "life", "gone"), (node, *rest)))
-                      for node, rest in sorted(nodes.items())],
-        "figures": role.figures(), "crossed": role.crossed}
+        "directory": [
+            dict(zip(("node", "role", "zone", "ip", "life", "gone"), (node, *rest)))
+            for node, rest in sorted(nodes.items())
+        ],
+        "figures": role.figures(),
+        "crossed": role.crossed,
+    }
 
 
 def query(text: bytes, *known: str) -> dict[str, str]:
@@ -99,24 +122,30 @@
 
 
 class Operators:
-    closing = False     # its connections end with the process
-
-    def __init__(self, role: Station, place: Address | None, look: Look | None = None,
-                 clock: Callable[[], float] = time.monotonic) -> None:
+    closing = False  # its connections end with the process
+
+    def __init__(
+        self,
+        role: Station,
+        place: Address | None,
+        look: Look | None = None,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         """`look`: a depot's way to its disk; other roles have none."""
         self.role, self.place, self.look, self.clock = role, place, look, clock
         self.pulse = Pulse(clock())
-        self.limits = replace(within(64, role.settings.mem_mb, MOST, 15.0, 0.3, 60.0, 3.0),
-                              clients=MOST, kept=MOST, spare=1)
+        self.limits = replace(
+            within(64, role.settings.mem_mb, MOST, 15.0, 0.3, 60.0, 3.0), clients=MOST, kept=MOST, spare=1
+        )
         self.door: Any = None
-        self.registry: Any = None                   # of the library, made with the first call for figures
+        self.registry: Any = None  # of the library, made with the first call for figures
 
     def accept(self) -> None:
         """Runs in a greenlet of its own."""
         failed = False
         while self.door is None:
             if self.place is None:
-                gevent.sleep(3600.0)            # the machine has no port for it
+                gevent.sleep(3600.0)  # the machine has no port for it
                 continue
             try:
                 listener = listening(self.place, 16)
@@ -223,22 +252,38 @@
 
     def figures(self) -> Iterator[Figure]:
         role, told = self.role, self.told
-        yield ("process", False, "Who it is.",
-               [({"node": role.node, "role": role.role, "zone": role.zone, "version": __version__}, 1.0)])
+        yield (
+            "process",
+            False,
+            "Who it is.",
+            [({"node": role.node, "role": role.role, "zone": role.zone, "version": __version__}, 1.0)],
+        )
         for name, value in role.figures().items():
             if isinstance(value, (bool, int, float)):
                 counts = name not in told.NOW
                 yield (name, counts, "Since its start." if counts else "Now.", [({}, float(value))])
-        yield ("link_age_seconds", False, "Since the last word on it.",
-               [({"node": link.peer.node, "role": link.peer.role}, role.now - link.heard_at)
-                for node in sorted(role.links) if (link := role.link(node)) is not None])
-        yield ("crossed_octets", True, "Said to other zones, by kind of word.",
-               [({"kind": kind}, octets) for kind, octets in sorted(role.crossed.items())])
+        yield (
+            "link_age_seconds",
+            False,
+            "Since the last word on it.",
+            [
+                ({"node": link.peer.node, "role": link.peer.role}, role.now - link.heard_at)
+                for node in sorted(role.links)
+                if (link := role.link(node)) is not None
+            ],
+        )
+        yield (
+            "crossed_octets",
+            True,
+            "Said to other zones, by kind of word.",
+            [({"kind": kind}, octets) for kind, octets in sorted(role.crossed.items())],
+        )
         yield from told.metrics(role)
 
 
 class Calling(Conversation):
     """An operator's connection."""
+
     house: Any
 
     def whole(self, message: Message, now: float) -> None:
