--- a/opalwick/post/plan.py
+++ b/opalwick/post/plan.py
@@ -3,6 +3,7 @@
 A site is a file of the bench (its words are turned into ours here) or a settings file: that one tells neither
 how many machines there are nor where, so one of each class in each zone is taken.
 """
+
 from __future__ import annotations
 
 import math
@@ -18,8 +19,11 @@
 SERVES = ("edge", "disk", "ctl")
 HELPERS = ("env", "npx", "sh", "bash", "dash", "exec", "nohup", "nice", "sudo")
 # what our programs need: class, what they serve
-PROGRAMS = {"carrier counter": ("edge", "edge"), "carrier depot": ("disk", "disk"),
-            "postmaster": ("core", "ctl")}
+PROGRAMS = {
+    "carrier counter": ("edge", "edge"),
+    "carrier depot": ("disk", "disk"),
+    "postmaster": ("core", "ctl"),
+}
 _BENCH = {"front": "edge", "store": "disk", "core": "core"}
 
 
@@ -44,14 +48,15 @@
 
 @dataclass(slots=True)
 class Site:
-    zones: dict[str, str]                       # each zone's region
+    zones: dict[str, str]  # each zone's region
     survive: Survive
-    machines: dict[str, dict[str, int]] = field(default_factory=dict)   # class: zone: how many
+    machines: dict[str, dict[str, int]] = field(default_factory=dict)  # class: zone: how many
     assumed: bool = False
 
 
 class Line(NamedTuple):
     """A thing that has to hold: what there is of it, and what is needed."""
+
     what: str
     has: int
     needs: int
@@ -64,6 +69,7 @@
 
 # ---- the deploy file
 
+
 class _Deploy:
     """Reads it; every fault is noted with its line."""
 
@@ -90,9 +96,12 @@
     def wrong(self, role: str, key: str, what: str) -> None:
         line = self.line(role, key)
         where = f"roles.{role}.{key}" if role and key else f"roles.{role}" if role else key
-        self.faults.append((line or 1 << 30,
-                            f"{self.name}:{line}: {where}: {what}" if line else
-                            f"{self.name}: {where}: {what}"))
+        self.faults.append(
+            (
+                line or 1 << 30,
+                f"{self.name}:{line}: {where}: {what}" if line else f"{self.name}: {where}: {what}",
+            )
+        )
 
     def role(self, name: str, given: Any) -> Role | None:
         if not isinstance(given, dict):
@@ -135,8 +144,11 @@
             if what not in serves:
                 self.wrong(name, "serves", f"{role.program!r} serves {what!r}, which is not there")
             if what == "edge" and share != 1:
-                self.wrong(name, "share" if share is not None else "count",
-                           "what carries the traffic runs on all machines of its class: share = 1.0")
+                self.wrong(
+                    name,
+                    "share" if share is not None else "count",
+                    "what carries the traffic runs on all machines of its class: share = 1.0",
+                )
         return role
 
     def whole(self) -> list[Role]:
@@ -176,6 +188,7 @@
 
 # ---- the site
 
+
 def site(text: str, name: str) -> Site:
     """Of a site file of the bench."""
     try:
@@ -196,12 +209,17 @@
 
 def told(settings: Settings) -> Site:
     """Of a settings file."""
-    return Site(dict(settings.zones), settings.survive,
-                {kind: dict.fromkeys(settings.zones, 1) for kind in CLASSES}, True)
+    return Site(
+        dict(settings.zones),
+        settings.survive,
+        {kind: dict.fromkeys(settings.zones, 1) for kind in CLASSES},
+        True,
+    )
 
 
 # ---- what has to hold
 
+
 def most(here: dict[str, int], groups: dict[str, str], lost: int) -> int:
     """The most of them that are gone with so many groups."""
     sums: dict[str, int] = {}
@@ -222,20 +240,33 @@
 def plan(roles: list[Role], site: Site) -> list[Line]:
     """Every loss that `survive` allows, in its worst place, against what our programs do."""
     s, copies = site.survive, site.survive.boxes + 1
-    depots, offices, counters = (placed(roles, program, site) for program in (
-        "carrier depot", "postmaster", "carrier counter"))
+    depots, offices, counters = (
+        placed(roles, program, site) for program in ("carrier depot", "postmaster", "carrier counter")
+    )
     voters = min(MOST, sum(offices.values()))
     single = {zone: zone for zone in site.zones}
-    spread = min(copies, len(depots))           # different zones that a message's copies are in for sure
+    spread = min(copies, len(depots))  # different zones that a message's copies are in for sure
     lines = [
         Line("counters", sum(counters.values()), 1, "clients reach nobody else"),
         Line("depots", sum(depots.values()), copies, f"a message is kept by survive.boxes + 1 = {copies}"),
-        Line("zones with depots", len(depots), min(copies, len(site.zones)) if s.spread else 1,
-             "a message's copies are in different zones, where some may be lost"),
-        Line("offices that keep the configuration", voters, copies,
-             f"it is on survive.boxes + 1 = {copies} disks before it is acknowledged")]
-    for word, lost, groups in (("boxes", s.boxes, None), ("zones", s.zones, single),
-                               ("regions", s.regions, site.zones)):
+        Line(
+            "zones with depots",
+            len(depots),
+            min(copies, len(site.zones)) if s.spread else 1,
+            "a message's copies are in different zones, where some may be lost",
+        ),
+        Line(
+            "offices that keep the configuration",
+            voters,
+            copies,
+            f"it is on survive.boxes + 1 = {copies} disks before it is acknowledged",
+        ),
+    ]
+    for word, lost, groups in (
+        ("boxes", s.boxes, None),
+        ("zones", s.zones, single),
+        ("regions", s.regions, site.zones),
+    ):
         if not lost:
             continue
         said = f"survive.{word} = {lost}"
@@ -246,14 +277,35 @@
             gone_voters = min(voters, most(offices, groups, lost))
             # each zone has one copy at most where there are zones enough
             gone_zones = most(dict.fromkeys(depots, 1), groups, lost)
-            lines.append(Line("zones that have a copy of a message", spread, gone_zones + 1,
-                              f"{said}: {gone_zones} of them may be gone"))
-            lines.append(Line("disks that have the configuration", min(copies, voters), gone_voters + 1,
-                              f"{said}: {gone_voters} voters may be gone"))
+            lines.append(
+                Line(
+                    "zones that have a copy of a message",
+                    spread,
+                    gone_zones + 1,
+                    f"{said}: {gone_zones} of them may be gone",
+                )
+            )
+            lines.append(
+                Line(
+                    "disks that have the configuration",
+                    min(copies, voters),
+                    gone_voters + 1,
+                    f"{said}: {gone_voters} voters may be gone",
+                )
+            )
         lines += [
-            Line("depots left", max(0, sum(depots.values()) - gone_depots), copies,
-                 f"{said}: messages are still taken, on {copies} disks"),
-            Line("voters left", max(0, voters - gone_voters), voters // 2 + 1,
-                 f"{said}: of {voters} voters a majority must be there"
-                 + (f"; more than {MOST} never vote" if sum(offices.values()) > MOST else ""))]
+            Line(
+                "depots left",
+                max(0, sum(depots.values()) - gone_depots),
+                copies,
+                f"{said}: messages are still taken, on {copies} disks",
+            ),
+            Line(
+                "voters left",
+                max(0, voters - gone_voters),
+                voters // 2 + 1,
+                f"{said}: of {voters} voters a majority must be there"
+                + (f"; more than {MOST} never vote" if sum(offices.values()) > MOST else ""),
+            ),
+        ]
     return lines
--- a/opalwick/post/replay.py
+++ b/opalwick/post/replay.py
@@ -3,6 +3,7 @@
 One JSON object a line: `at` (seconds), `core`, `input` (a method of it) and `fields` (its arguments, a list).
 `new` makes a core; `name` tells several of one kind apart. `docs/operate/post-trace.jsonl` is an example.
 """
+
 from __future__ import annotations
 
 import base64
@@ -18,10 +19,16 @@
 from google.protobuf.message import Message
 
 # by name: the module and the class
-CORES = {"intake": ("counter.intake", "Intake"), "rounds": ("counter.rounds", "Rounds"),
-         "ceilings": ("counter.ceilings", "Ceilings"), "keeping": ("depot.keeping", "Keeping"),
-         "views": ("office.views", "Views"), "duties": ("office.duties", "Duties"),
-         "registry": ("office.registry", "Registry"), "directory": ("directory", "Directory")}
+CORES = {
+    "intake": ("counter.intake", "Intake"),
+    "rounds": ("counter.rounds", "Rounds"),
+    "ceilings": ("counter.ceilings", "Ceilings"),
+    "keeping": ("depot.keeping", "Keeping"),
+    "views": ("office.views", "Views"),
+    "duties": ("office.duties", "Duties"),
+    "registry": ("office.registry", "Registry"),
+    "directory": ("directory", "Directory"),
+}
 
 
 class BadTrace(Exception):
@@ -46,7 +53,7 @@
         return value.name
     if value is None or isinstance(value, (bool, int, float, str)):
         return value
-    return getattr(value, "mid", f"<{type(value).__name__}>")   # a message that a core holds
+    return getattr(value, "mid", f"<{type(value).__name__}>")  # a message that a core holds
 
 
 def value(hint: Any, given: Any, core: Any) -> Any:
@@ -54,14 +61,14 @@
     origin, parts = typing.get_origin(hint), typing.get_args(hint)
     if hint is Any or hint is None:
         return tuple(given) if isinstance(given, list) else given
-    if type(None) in parts:                     # an optional one
+    if type(None) in parts:  # an optional one
         rest = [part for part in parts if part is not type(None)]
         return None if given is None else value(rest[0], given, core)
     if origin in (list, tuple, set):
         return origin(value(parts[0] if parts else Any, one, core) for one in given)
     if origin is dict:
         return {key: value(parts[1], one, core) for key, one in given.items()}
-    if getattr(origin, "__name__", "") == "Callable":   # whatever it is asked, this is the answer
+    if getattr(origin, "__name__", "") == "Callable":  # whatever it is asked, this is the answer
         return lambda *_: given
     if not isinstance(hint, type):
         return given
@@ -108,8 +115,11 @@
             raise BadTrace(f"{where}: no JSON: {problem.msg}") from None
         except KeyError as problem:
             what = problem.args[0]
-            raise BadTrace(f"{where}: {what}: missing" if what in ("at", "core", "input") else
-                           f"{where}: core: no {what!r}; there are {', '.join(CORES)}") from None
+            raise BadTrace(
+                f"{where}: {what}: missing"
+                if what in ("at", "core", "input")
+                else f"{where}: core: no {what!r}; there are {', '.join(CORES)}"
+            ) from None
         except (TypeError, ValueError) as problem:
             raise BadTrace(f"{where}: at: must be a number of seconds: {problem}") from None
         if not isinstance(fields, list):
@@ -138,12 +148,19 @@
             raise
         except Exception as problem:
             raise BadTrace(f"{where}: {who} {put}: {type(problem).__name__}: {problem}") from None
-        yield {"line": number, "at": at, "core": who, "input": put, "returned": plain(returned),
-               "left": [plain(one) for one in left] if any(left) else []}
-
-
-def recorded(core: Any, kind: str, now: Callable[[], float], write: Callable[[str], None],
-             inputs: tuple[str, ...]) -> None:
+        yield {
+            "line": number,
+            "at": at,
+            "core": who,
+            "input": put,
+            "returned": plain(returned),
+            "left": [plain(one) for one in left] if any(left) else [],
+        }
+
+
+def recorded(
+    core: Any, kind: str, now: Callable[[], float], write: Callable[[str], None], inputs: tuple[str, ...]
+) -> None:
     """From now on each of these inputs to the core is written as a line; what it calls itself is not."""
     inside = False
 
@@ -158,6 +175,7 @@
                 return method(*fields)
             finally:
                 inside = False
+
         return run
 
     for put in inputs:
--- a/opalwick/post/settings.py
+++ b/opalwick/post/settings.py
@@ -144,8 +144,9 @@
     def wrong(self, key: str, what: str) -> None:
         line = self.lines.get(key)
         # the missing ones come last
-        self.faults.append((line or 1 << 30, f"{self.name}:{line}: {key}: {what}" if line else
-                            f"{self.name}: {key}: {what}"))
+        self.faults.append(
+            (line or 1 << 30, f"{self.name}:{line}: {key}: {what}" if line else f"{self.name}: {key}: {what}")
+        )
 
     def text(self, key: str, default: str | None = None) -> str:
         value = self.values.get(key, default)
@@ -215,29 +216,46 @@
     serves, zone = r.row("serves"), r.text("az")
     zones = {key[6:]: value for key, value in r.values.items() if key.startswith("zones.")}
     region = r.text("region", zones.get(zone, ""))
-    binds = {key[6:]: r.endpoint(key, value) for key, value in r.values.items()
-             if key.startswith("binds.")}
+    binds = {key[6:]: r.endpoint(key, value) for key, value in r.values.items() if key.startswith("binds.")}
     for who in serves:
         for bind in _BINDS.get(who, ()):
             if bind not in binds:
                 r.wrong(f"binds.{bind}", "missing")
     default: Any = Bounds()
     settings = Settings(
-        node=r.text("node"), role=r.text("role"), size=r.text("size", ""), serves=serves, ip=r.ip("ip"),
-        zone=zone, region=region, zones={zone: region} | zones, binds=binds, ports=r.ports("port_range"),
-        seeds=tuple(r.endpoint("seeds", seed) for seed in r.row("seeds")), bootstrap=r.flag("bootstrap"),
-        counted=r.flag("counted"), cpu=r.number("caps.cpu", 0.5, above=True),
-        ncpu=r.whole("caps.ncpu", 1, above=True), mem_mb=r.number("caps.mem_mb", 256.0, above=True),
+        node=r.text("node"),
+        role=r.text("role"),
+        size=r.text("size", ""),
+        serves=serves,
+        ip=r.ip("ip"),
+        zone=zone,
+        region=region,
+        zones={zone: region} | zones,
+        binds=binds,
+        ports=r.ports("port_range"),
+        seeds=tuple(r.endpoint("seeds", seed) for seed in r.row("seeds")),
+        bootstrap=r.flag("bootstrap"),
+        counted=r.flag("counted"),
+        cpu=r.number("caps.cpu", 0.5, above=True),
+        ncpu=r.whole("caps.ncpu", 1, above=True),
+        mem_mb=r.number("caps.mem_mb", 256.0, above=True),
         nofile=r.whole("caps.nofile", 1024, above=True),
-        net_mbps=r.number("caps.net_mbps", 100.0, above=True), disk_mb=r.number("caps.disk_mb", 0.0),
+        net_mbps=r.number("caps.net_mbps", 100.0, above=True),
+        disk_mb=r.number("caps.disk_mb", 0.0),
         datadir=r.text("datadir", None if "disk" in serves else ""),
         beat=r.seconds("beat_ms", 1.2, above=True),
         policy=r.row("policy", "base,drain,config,cost,ingest,recover"),
-        survive=Survive(*(r.whole(f"survive.{what}", getattr(Survive(), what))
-                          for what in ("boxes", "zones", "regions"))),
-        bounds=Bounds(**{field: r.seconds(key, getattr(default, field), field in ("ceil_win", "ceil_excess"))
-                         for field, key in _BOUNDS.items()}),
-        config_mode=r.text("config_mode", "highest"))
+        survive=Survive(
+            *(r.whole(f"survive.{what}", getattr(Survive(), what)) for what in ("boxes", "zones", "regions"))
+        ),
+        bounds=Bounds(
+            **{
+                field: r.seconds(key, getattr(default, field), field in ("ceil_win", "ceil_excess"))
+                for field, key in _BOUNDS.items()
+            }
+        ),
+        config_mode=r.text("config_mode", "highest"),
+    )
     if r.faults:
         raise Faulty("\n".join(what for _, what in sorted(r.faults, key=lambda fault: fault[0])))
     return settings
@@ -253,6 +271,6 @@
     try:
         text = held.decode("utf-8")
     except UnicodeDecodeError as e:
-        line = len(re.findall(rb"\r\n|\r|\n", held[:e.start])) + 1
+        line = len(re.findall(rb"\r\n|\r|\n", held[: e.start])) + 1
         raise Faulty(f"{path}:{line}: this line is no UTF-8") from None
     return parse(text, path)
--- a/opalwick/post/station.py
+++ b/opalwick/post/station.py
@@ -4,6 +4,7 @@
 was heard on them and the time; it keeps links to all places in `wanted`, and gives each link the role's pulse
 in turn.
 """
+
 from __future__ import annotations
 
 import math
@@ -18,6 +19,7 @@
 
 class Link(Protocol):
     """One connection to another process, as a role sees it."""
+
     peer: Hello
     heard_at: float
 
@@ -36,10 +38,10 @@
             settings.ip,
             settings.ports[0],
         )
-        self.links: dict[str, list[Link]] = {}      # by node
-        self.wanted: dict[Address, None] = {}       # where links are kept to
-        self.crossed: dict[str, int] = {}           # octets said to other zones, by kind of word
-        self.echoes: dict[tuple[str, int], float] = {}      # by process: the newest of its own times heard
+        self.links: dict[str, list[Link]] = {}  # by node
+        self.wanted: dict[Address, None] = {}  # where links are kept to
+        self.crossed: dict[str, int] = {}  # octets said to other zones, by kind of word
+        self.echoes: dict[tuple[str, int], float] = {}  # by process: the newest of its own times heard
         self.directory = Directory()
         for host, _ in settings.seeds:
             self.want(host)
@@ -144,8 +146,11 @@
 
     def of(self, role: str) -> list[Link]:
         """A link to each node of that role, by name."""
-        return [link for node in sorted(self.links)
-                if (link := self.link(node)) is not None and link.peer.role == role]
+        return [
+            link
+            for node in sorted(self.links)
+            if (link := self.link(node)) is not None and link.peer.role == role
+        ]
 
     def nodes(self, role: str) -> list[Node]:
         return [node for node in self.directory.nodes.values() if node.role == role and not node.gone]
@@ -157,7 +162,8 @@
     def unwant(self, node: Node) -> None:
         """It is gone: nobody dials it, unless its address is in the settings or another's by now."""
         if not any(other.ip == node.ip for other in self.directory.nodes.values() if not other.gone) and all(
-                host != node.ip for host, _ in self.settings.seeds):
+            host != node.ip for host, _ in self.settings.seeds
+        ):
             self.wanted.pop((node.ip, self.port), None)
 
     def event(self, number: int, **fields: Any) -> None:
--- a/opalwick/post/strict.py
+++ b/opalwick/post/strict.py
@@ -113,7 +113,7 @@
         return decoder.decode(value)
     except MissingField as e:
         raise Wrong("is missing", f"{where}.{e.field_name}") from None
-    except ExtraKeysError as e:                     # where a kind forbids them
+    except ExtraKeysError as e:  # where a kind forbids them
         raise Wrong("is no field here", f"{where}.{min(e.extra_keys)}") from None
     except InvalidFieldValue as e:
         found = e.__context__
--- a/opalwick/post/verdict.py
+++ b/opalwick/post/verdict.py
@@ -1,4 +1,5 @@
 """What an attempt came to: above all, whether the request may have run."""
+
 from __future__ import annotations
 
 from enum import Enum
@@ -10,7 +11,7 @@
     """`ran`: True, False, or None where nobody knows."""
 
     DONE = ("done", True, Outcome.FINISHED)
-    FAILED = ("failed", True, Outcome.ERROR)            # this attempt; a later one may succeed
+    FAILED = ("failed", True, Outcome.ERROR)  # this attempt; a later one may succeed
     REFUSED = ("refused for good", True, Outcome.ERROR)
     FULL = ("turned away", False, Outcome.FULL)
     ABSENT = ("another worker, or none, is there", False, Outcome.NO_CONNECTION)
--- a/opalwick/processor/grpc.py
+++ b/opalwick/processor/grpc.py
@@ -100,9 +100,7 @@
 class GrpcServer:
     def __init__(self, bounds: Bounds) -> None:
         self.bounds = bounds
-        self.h2 = Connection(
-            h2.config.H2Configuration(client_side=False, header_encoding="utf-8")
-        )
+        self.h2 = Connection(h2.config.H2Configuration(client_side=False, header_encoding="utf-8"))
         self.h2.local_settings = h2.settings.Settings(
             client=False,
             initial_values={
--- a/opalwick/program/configuration.py
+++ b/opalwick/program/configuration.py
@@ -1,4 +1,5 @@
 """The one place where the configuration is read, checked and given defaults."""
+
 from __future__ import annotations
 
 import json
@@ -25,19 +26,19 @@
     name: str
     listen: Address
     discovery: Address
-    inherited: int | None       # the descriptor of the clients' listener, where the platform holds it
-    directory: str              # where a process that follows finds this one; empty: nowhere
+    inherited: int | None  # the descriptor of the clients' listener, where the platform holds it
+    directory: str  # where a process that follows finds this one; empty: nowhere
     operator: Address | None
     peer_listen: Address | None
     peers: list[Address]
     seed: int
-    known: dict[str, Any]       # the list of workers as last had
+    known: dict[str, Any]  # the list of workers as last had
     terms: Terms
     names: Names
     limits: Limits
-    fleet: dict[str, Any] | None    # what its parts were given, checked; none: off
-    records: str                # a file for what it takes to be so of the fleet; empty: none
-    given: dict[str, Any]       # as it was read, but for what is new each time
+    fleet: dict[str, Any] | None  # what its parts were given, checked; none: off
+    records: str  # a file for what it takes to be so of the fleet; empty: none
+    given: dict[str, Any]  # as it was read, but for what is new each time
 
     def changed(self, other: Configuration) -> list[str]:
         """The paths that differ."""
@@ -72,8 +73,9 @@
 _FLEET_TIMES = ("every-us", "answer-us", "missed-us", "suspect-us", "digest-us")
 
 
-def _fleet(given: Mapping[str, Any], terms: Terms, peers: list[Any], peer_listen: Any
-           ) -> dict[str, Any] | None:
+def _fleet(
+    given: Mapping[str, Any], terms: Terms, peers: list[Any], peer_listen: Any
+) -> dict[str, Any] | None:
     """What `fleet` says, or none where it is off; the keys are named that are unknown or do not fit."""
     fleet = _take(given, "fleet", dict, {})
     for key, value in fleet.items():
@@ -95,11 +97,17 @@
     from opalwick.fleet.members import Terms as Times
 
     found = Times(**{key[:-3]: fleet[key] * 1e-6 for key in _FLEET_TIMES if key in fleet})
-    for less, more in (("answer", "missed"), ("every", "suspect"), ("missed", "suspect"),
-                       ("every", "digest")):
+    for less, more in (
+        ("answer", "missed"),
+        ("every", "suspect"),
+        ("missed", "suspect"),
+        ("every", "digest"),
+    ):
         if getattr(found, less) >= getattr(found, more):
-            raise BadConfiguration(f"fleet.{less}-us: {getattr(found, less):g} s is not under "
-                                   f"fleet.{more}-us, {getattr(found, more):g} s")
+            raise BadConfiguration(
+                f"fleet.{less}-us: {getattr(found, less):g} s is not under "
+                f"fleet.{more}-us, {getattr(found, more):g} s"
+            )
     return {"terms": found, "life": fleet.get("life", 0)}
 
 
@@ -111,8 +119,9 @@
         raise BadConfiguration(f"BALANCER_FD is malformed: {text!r} is not a descriptor's number")
     try:
         with socket.socket(fileno=os.dup(int(text))) as found:
-            if (found.type != socket.SOCK_STREAM
-                    or not found.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)):
+            if found.type != socket.SOCK_STREAM or not found.getsockopt(
+                socket.SOL_SOCKET, socket.SO_ACCEPTCONN
+            ):
                 raise BadConfiguration(f"BALANCER_FD is malformed: {text} does not listen")
     except (OSError, OverflowError) as problem:
         raise BadConfiguration(f"BALANCER_FD is malformed: {text} is no open socket: {problem}") from None
@@ -156,20 +165,31 @@
         values = Values(settings)
         budgets = within(
             # what a small machine gives
-            int(_number(limits, "sockets", 1024, 1)), _number(limits, "memory_mb", 192, 1),
-            int(values.number("ceilings.max-open", 20000)), values.seconds("ceilings.conn-idle-us", 10.0),
-            values.seconds("ceilings.connect-timeout-us", 0.25), terms.ask_every,
-            max((c.expiry for c in terms.categories), default=0.0))
+            int(_number(limits, "sockets", 1024, 1)),
+            _number(limits, "memory_mb", 192, 1),
+            int(values.number("ceilings.max-open", 20000)),
+            values.seconds("ceilings.conn-idle-us", 10.0),
+            values.seconds("ceilings.connect-timeout-us", 0.25),
+            terms.ask_every,
+            max((c.expiry for c in terms.categories), default=0.0),
+        )
     except BadStart as problem:
         raise BadConfiguration(f"settings: {problem}") from None
     return Configuration(
         name=_take(given, "name", str, environment.get("BALANCER_NAME", "opalwick")),
-        listen=listen, inherited=_inherited(environment.get("BALANCER_FD")),
-        directory=environment.get("TMPDIR", ""), operator=operator_at,
+        listen=listen,
+        inherited=_inherited(environment.get("BALANCER_FD")),
+        directory=environment.get("TMPDIR", ""),
+        operator=operator_at,
         discovery=_address(given.get("discovery") or environment.get("BALANCER_DISCOVERY"), "discovery"),
         peer_listen=None if peer_listen is None else _address(peer_listen, "peer_listen", 0),
-        peers=[_address(peer, f"peers.{i}") for i, peer in enumerate(peers)], seed=seed_number,
-        records=_take(given, "records", str, ""), fleet=_fleet(given, terms, peers, peer_listen),
+        peers=[_address(peer, f"peers.{i}") for i, peer in enumerate(peers)],
+        seed=seed_number,
+        records=_take(given, "records", str, ""),
+        fleet=_fleet(given, terms, peers, peer_listen),
         known=_take(given, "known", dict, {"seq": 0, "whole": True, "hosts": []}),
-        terms=terms, names=names, limits=budgets,
-        given={key: value for key, value in given.items() if key not in ("known", "seed")})
+        terms=terms,
+        names=names,
+        limits=budgets,
+        given={key: value for key, value in given.items() if key not in ("known", "seed")},
+    )
--- a/opalwick/program/core.py
+++ b/opalwick/program/core.py
@@ -1,4 +1,5 @@
 """What every front shares: the reducer with its one timer, the list of workers, words, the signals."""
+
 from __future__ import annotations
 
 import math
@@ -27,25 +28,28 @@
 from opalwick.transport.pulse import Pulse
 
 
-AGENT = b"\2"      # how words of the fleet's parts begin (`fleet/words.py`), which is not imported while off
+AGENT = b"\2"  # how words of the fleet's parts begin (`fleet/words.py`), which is not imported while off
 
 
 class State(Enum):
     """Of the process."""
+
     STARTING = "starting"
     SERVING = "serving"
-    DRAINING = "draining"       # by an operator's hand: clients are sent away, until they are let in again
-    LEAVING = "leaving"         # told to end, or another process serves in its place
+    DRAINING = "draining"  # by an operator's hand: clients are sent away, until they are let in again
+    LEAVING = "leaving"  # told to end, or another process serves in its place
 
 
 class Core:
     """A front is a subclass: it feeds `put` with what is asked for, and carries out Send, Close and
     Answer.
     """
-    hands_over = False      # whether a front can leave its door to another process
 
-    def __init__(self, configuration: Configuration, stop: Event, again: Event,
-                 read: Callable[[], Configuration]) -> None:
+    hands_over = False  # whether a front can leave its door to another process
+
+    def __init__(
+        self, configuration: Configuration, stop: Event, again: Event, read: Callable[[], Configuration]
+    ) -> None:
         """To end when `stop` is set; to read its configuration, with `read`, each time that `again` is."""
         self.stop, self.again, self.read = stop, again, read
         c = self.configuration = configuration
@@ -53,14 +57,14 @@
         now = time.monotonic()
         unix = self.unix = time.time() - now
         self.reducer = Reducer(c.terms, c.seed, now)
-        self.pool = Pool(c.limits.workers, c.limits.idle_worker, c.limits.ring)     # to workers
+        self.pool = Pool(c.limits.workers, c.limits.idle_worker, c.limits.ring)  # to workers
         self.state = State.STARTING
         self.counts = figures.Counts(c.names.categories.values())
         self.operators = Operators(c.operator, c.limits, self) if c.operator else None
         self.wake_at, self.rearmed = now, Event()
         self.pulse = Pulse(now)
-        self.agent: Any = None                  # of the parts of the fleet that are on
-        self.agent_at = math.inf                # when it wants to be woken
+        self.agent: Any = None  # of the parts of the fleet that are on
+        self.agent_at = math.inf  # when it wants to be woken
         if c.fleet is not None:
             from opalwick.fleet.agent import Agent
 
@@ -69,24 +73,24 @@
             life = c.fleet["life"] or int(time.time() * 16.0)
             self.agent = Agent(c.terms.position, len(c.peers), life, now, c.fleet["terms"], c.seed)
             self.agent_at = now
-        self.waking = False                     # it stood still, and takes in what lay unread
-        self.put_at, self.gap = now, 0.0        # time of the last input; how long it stood still last
+        self.waking = False  # it stood still, and takes in what lay unread
+        self.put_at, self.gap = now, 0.0  # time of the last input; how long it stood still last
         self.peers = {place: i for i, place in enumerate(c.peers)}
         self.datagrams: Datagrams | None = None
         path = meeting(c.directory, f"{c.name} {c.listen}") if c.directory and c.inherited is not None else ""
         self.handover = Handover(path if self.hands_over else "", self, self.forever)
-        self.relieved = False                   # by a process that follows
-        self.other_ids: set[Any] = set()        # work items open in the other process
-        self.lent = 0                           # descriptors that it holds
+        self.relieved = False  # by a process that follows
+        self.other_ids: set[Any] = set()  # work items open in the other process
+        self.lent = 0  # descriptors that it holds
         try:
             version, _, known = rows(c.known, c.names, unix)
         except ValueError as problem:
             logger.warning("known: {}; starting from no list", problem)
             version, known = 0, []
         self.discovery = Discovery(c.discovery, version, c.names, unix, c.limits, self.listed)
-        self.watched: bool | None = None        # whether the last call to discovery was answered
+        self.watched: bool | None = None  # whether the last call to discovery was answered
         self.known, self.had_list = known, Event()
-        self.place: Address = c.listen          # as bound, once it is
+        self.place: Address = c.listen  # as bound, once it is
 
     # ---- reducer and effects; none of this waits, so one input is done before the next
 
@@ -147,15 +151,20 @@
                     self.rearmed.set()
                 case "Event":
                     changed = True
-                    logger.info("fleet: s{} {} in life {}: {}", decision.member, decision.kind, decision.life,
-                                decision.why)
+                    logger.info(
+                        "fleet: s{} {} in life {}: {}",
+                        decision.member,
+                        decision.kind,
+                        decision.life,
+                        decision.why,
+                    )
                     if row := self.agent.record(decision):
                         told = {"at": time.monotonic(), "what": row[0], "fields": row[1:]}
                         logger.bind(fleet=told).debug("record")
-        if changed:                             # once, however many came or went
+        if changed:  # once, however many came or went
             self.put("absent", self.agent.absent())
 
-    TAKE_IN = 0.1   # seconds that a list may take to be read; a second of a busy core reads one of thousands
+    TAKE_IN = 0.1  # seconds that a list may take to be read; a second of a busy core reads one of thousands
 
     def perform(self, effect: Any) -> None:
         """What is the same for every front; a front takes its own effects first."""
@@ -215,7 +224,7 @@
         if self.pulse.late(now):
             self.stood(now)
         if self.relieved or self.waking and self.gap > self.pulse.LONG:
-            return                              # it may have lain there for as long
+            return  # it may have lain there for as long
         if (peer := self.peers.get(sender)) is None:
             return
         if self.agent is not None and octets.startswith(AGENT):
@@ -272,14 +281,21 @@
 
     def state_of_things(self) -> dict[str, Any]:
         """For the process that follows: all that it must know before it serves."""
-        return {"list": listing(self.discovery.version, self.reducer.rows(), self.names, self.unix),
-                "out": self.reducer.out(), "draining": self.state is State.DRAINING,
-                "learned": self.reducer.learned(), **self.goings_on()}
+        return {
+            "list": listing(self.discovery.version, self.reducer.rows(), self.names, self.unix),
+            "out": self.reducer.out(),
+            "draining": self.state is State.DRAINING,
+            "learned": self.reducer.learned(),
+            **self.goings_on(),
+        }
 
     def goings_on(self) -> dict[str, Any]:
         """For the other process: what it must count with its own."""
-        return {"ids": self.open_ids(), "descriptors": self.descriptors(),
-                "in_flight": self.reducer.in_flight()}
+        return {
+            "ids": self.open_ids(),
+            "descriptors": self.descriptors(),
+            "in_flight": self.reducer.in_flight(),
+        }
 
     def descriptor(self) -> int | None:
         return None if self.datagrams is None else self.datagrams.sock.fileno()
@@ -349,8 +365,11 @@
     def figures(self) -> bytes:
         counts = {} if self.agent is None else self.agent.counts
         fleet = {f"fleet_{name}": value for name, value in counts.items()}
-        return figures.text(self.names.categories, self.counts,
-                            {"open_requests": self.open_items(), **self.reducer.gauges(), **fleet})
+        return figures.text(
+            self.names.categories,
+            self.counts,
+            {"open_requests": self.open_items(), **self.reducer.gauges(), **fleet},
+        )
 
     def fleet(self) -> bytes | None:
         """The view of the fleet's members, for people; none where the part is off."""
@@ -406,7 +425,7 @@
                 gevent.sleep(1.0)
         self.datagrams.receive(self.heard)
 
-    LOOK = 0.25     # seconds between two records: a few for each second that a belief may be wrong
+    LOOK = 0.25  # seconds between two records: a few for each second that a belief may be wrong
 
     def record(self) -> None:
         """Runs in a greenlet of its own, where the configuration names a file: the lab reads it."""
@@ -430,7 +449,7 @@
     def run(self) -> None:
         """Until it was told to close and all is answered."""
         self.open()
-        self.pulse.beat_at = time.monotonic()   # what a start takes is no standing still
+        self.pulse.beat_at = time.monotonic()  # what a start takes is no standing still
         if self.operators is not None:
             gevent.spawn(self.forever, self.operators.accept)
         state, told = State.SERVING, self.handover.meet()
--- a/opalwick/program/handover.py
+++ b/opalwick/program/handover.py
@@ -4,6 +4,7 @@
 greenlet reads and one writes; to say something is to leave it to the latter, and a side that does not read
 loses the link.
 """
+
 from __future__ import annotations
 
 import math
@@ -22,10 +23,10 @@
 
 from opalwick.protocol.handover import Odd, Reader, packed
 
-MEET = 1.5      # seconds for all that the old one tells: a new one has six, and must be up by itself in time
-TALK = 0.1      # seconds between words of what is going on: a tenth of what clients wait for most work
-UNSAID = 256    # messages: half a minute of words to one that does not read
-WRITE = 2.0     # seconds until one that does not read is given up
+MEET = 1.5  # seconds for all that the old one tells: a new one has six, and must be up by itself in time
+TALK = 0.1  # seconds between words of what is going on: a tenth of what clients wait for most work
+UNSAID = 256  # messages: half a minute of words to one that does not read
+WRITE = 2.0  # seconds until one that does not read is given up
 _READ = 65536
 
 
@@ -44,7 +45,7 @@
     def alone(self) -> None:
         """The other process is gone."""
 
-    relieved: bool      # the process that follows serves
+    relieved: bool  # the process that follows serves
 
 
 class Link:
@@ -52,7 +53,7 @@
 
     def __init__(self, sock: Any) -> None:
         self.sock, self.reader = sock, Reader()
-        self.heard: deque[tuple[str, dict[str, Any]]] = deque()     # come, and not yet taken in
+        self.heard: deque[tuple[str, dict[str, Any]]] = deque()  # come, and not yet taken in
         self.over = False
         self.unsaid: deque[bytes] = deque()
         self.some = Event()
@@ -73,10 +74,10 @@
                     rest = memoryview(self.unsaid.popleft())
                     while rest:
                         socket.wait_write(self.sock.fileno(), WRITE)
-                        rest = rest[self.sock.send(rest, socket.MSG_DONTWAIT):]
+                        rest = rest[self.sock.send(rest, socket.MSG_DONTWAIT) :]
                 self.some.clear()
                 self.some.wait()
-        except OSError:                         # gone, or it does not read
+        except OSError:  # gone, or it does not read
             self.close()
 
     def hear(self, until: float = math.inf) -> tuple[str, dict[str, Any]]:
@@ -107,8 +108,8 @@
         """`path`: where the two meet; empty where nothing is handed over."""
         self.path, self.process, self.forever = path, process, forever
         self.link: Link | None = None
-        self.passed: int | None = None          # a descriptor that came over
-        self.follows = False                    # the other process was here before
+        self.passed: int | None = None  # a descriptor that came over
+        self.follows = False  # the other process was here before
         self.listener: Any = None
         self.accepting: Any = None
 
@@ -138,7 +139,7 @@
             logger.info("the process before has told what it knows")
             return told
         except (FileNotFoundError, ConnectionRefusedError):
-            pass                                # none is there, or it left its file behind
+            pass  # none is there, or it left its file behind
         except (OSError, Odd) as problem:
             logger.warning("no hand-over from the process before: {}", problem or type(problem).__name__)
         link.close()
@@ -199,7 +200,7 @@
             kind, _ = link.hear(time.monotonic() + MEET)
             if kind != "hello":
                 raise Odd(f"it begins with {kind[:40]!r}")
-            if self.link is not None:           # the one that came before never said that it serves
+            if self.link is not None:  # the one that came before never said that it serves
                 self.link.close()
             self.link = link
             passed = self.process.descriptor()
--- a/opalwick/program/operators.py
+++ b/opalwick/program/operators.py
@@ -3,6 +3,7 @@
 Its calls have few descriptors and one deadline each, so those that stay silent hold up nobody; nothing that
 a call does waits.
 """
+
 from __future__ import annotations
 
 import time
@@ -21,7 +22,7 @@
     def __init__(self, place: Address, limits: Limits, serves: Serves) -> None:
         self.limits, self.serves, self.place = limits, serves, place
         self.listener: Any = None
-        self.calls: dict[Connection, None] = {}     # in the order accepted
+        self.calls: dict[Connection, None] = {}  # in the order accepted
 
     def accept(self) -> None:
         """Runs in a greenlet of its own. Clients are served where the place cannot be had, too."""
@@ -42,7 +43,7 @@
                 oldest.close()
             try:
                 connection = Connection(self.listener.accept()[0], self.limits.ring)
-            except OSError:                     # no descriptor left, or it has gone away again
+            except OSError:  # no descriptor left, or it has gone away again
                 gevent.sleep(0.01)
                 continue
             self.calls[connection] = None
@@ -52,7 +53,7 @@
     def serve(self, connection: Connection) -> None:
         try:
             converse(connection, self.limits, self.serves, time.monotonic() + self.limits.call)
-        except OSError:                         # gone, silent for too long, or closed from here
+        except OSError:  # gone, silent for too long, or closed from here
             pass
         finally:
             self.calls.pop(connection, None)
--- a/opalwick/program/scheduler.py
+++ b/opalwick/program/scheduler.py
@@ -1,4 +1,5 @@
 """The HTTP front: clients' connections on one side, hand-offs to workers on the other."""
+
 from __future__ import annotations
 
 import math
@@ -20,13 +21,14 @@
 class Scheduler(Core):
     hands_over = True
 
-    def __init__(self, configuration: Configuration, stop: Event, again: Event,
-                 read: Callable[[], Configuration]) -> None:
+    def __init__(
+        self, configuration: Configuration, stop: Event, again: Event, read: Callable[[], Configuration]
+    ) -> None:
         super().__init__(configuration, stop, again, read)
         c = configuration
-        self.calls: dict[bytes, Call] = {}      # taken and not yet answered, by the client's id
+        self.calls: dict[bytes, Call] = {}  # taken and not yet answered, by the client's id
         self.out: dict[tuple[bytes, int], HandingOff] = {}
-        self.bodies = self.open_count = 0       # bytes, work items: unanswered
+        self.bodies = self.open_count = 0  # bytes, work items: unanswered
         self.accepting: Any = None
         # when the door itself defers: a second, in which a crowd passes, or as long as clients honour
         self.advice = come_back(min(1.0, c.terms.retry_after))
@@ -51,19 +53,27 @@
                 def tell(kind: str, *fields: Any) -> None:
                     if kind == "ended":
                         del self.out[id, number]
-                        if handing.fault:       # the client's own: it is told so, and nobody else is asked
+                        if handing.fault:  # the client's own: it is told so, and nobody else is asked
                             call.answer(handing.fault, b"turned away by a worker")
                     self.put(kind, id, number, *fields)
 
                 handing = self.out[id, number] = HandingOff(
-                    place, call.message, until, wanted, self.pool, self.limits, self.names.figures,
-                    self.counts, tell)
+                    place,
+                    call.message,
+                    until,
+                    wanted,
+                    self.pool,
+                    self.limits,
+                    self.names.figures,
+                    self.counts,
+                    tell,
+                )
                 gevent.spawn(handing.run)
             case Close(id, number):
                 if (id, number) in self.out:
                     self.out[id, number].give_up()
             case Answer(id) if id not in self.calls:
-                pass                            # its client left while this process took in what lay there
+                pass  # its client left while this process took in what lay there
             case Answer(id, Final.FINISHED, result):
                 self.calls[id].answer(200, result, "Content-Type: application/octet-stream")
             case Answer(id, Final.DEFERRED, _, come_back_in):
@@ -102,7 +112,7 @@
             del self.calls[call.id]
             self.open_count -= 1
             self.bodies -= len(call.message.body)
-            call.message.body = b""             # the item is remembered until its expiry
+            call.message.body = b""  # the item is remembered until its expiry
             self.door.thin()
 
     # ---- running
@@ -110,9 +120,13 @@
     def open(self) -> None:
         super().open()
         self.door = Door(
-            self.listener, self.limits, self.pulse,
+            self.listener,
+            self.limits,
+            self.pulse,
             lambda connection, full: Conversation(connection, self.limits, self.names, self, full),
-            self.most, self.pool)
+            self.most,
+            self.pool,
+        )
 
     def moved(self) -> None:
         """The door: from `close_at` on each answer ends its connection, so that nothing crosses a close; from
@@ -159,7 +173,7 @@
         gevent.sleep(max(0.0, self.door.close_at - time.monotonic()))
         self.accepting.kill()
         if self.configuration.inherited is None:
-            self.door.empty()                   # what waits there otherwise is left to the next process
+            self.door.empty()  # what waits there otherwise is left to the next process
         self.listener.close()
         # a request that has not come whole is not taken, so one that drips on may be left
         while self.door.conversations and time.monotonic() < self.reducer.leave_at + self.limits.linger:
--- a/opalwick/program/service.py
+++ b/opalwick/program/service.py
@@ -1,4 +1,5 @@
 """One scheduler as a service: its signals and its log, from the configuration to the exit code."""
+
 from __future__ import annotations
 
 import gc
--- a/opalwick/protocol/clients.py
+++ b/opalwick/protocol/clients.py
@@ -1,4 +1,5 @@
 """The clients' side: what a request must say to be a work item, and what is answered to it."""
+
 from __future__ import annotations
 
 import re
@@ -16,19 +17,20 @@
 from opalwick.transport.limits import Limits
 
 
-_NUMBER = re.compile(rb"[0-9]{1,12}([.][0-9]{1,12})?")     # a million seconds in microseconds
-_MARK = re.compile(rb"[!-~]{0,128}")    # far longer than any id; odd letters would be closed on
+_NUMBER = re.compile(rb"[0-9]{1,12}([.][0-9]{1,12})?")  # a million seconds in microseconds
+_MARK = re.compile(rb"[!-~]{0,128}")  # far longer than any id; odd letters would be closed on
 
 
 class Call(conversation.Call):
     """One that may be a work item."""
+
     __slots__ = ("taken", "again", "category")
 
     def __init__(self, message: Message, close: bool, changed: Event) -> None:
         super().__init__(message, close, changed)
-        self.taken = False                      # handed on as a work item
-        self.again = False                      # a hand-off was decided anew, as this process stood still
-        self.category: Category | None = None   # where it asks for one
+        self.taken = False  # handed on as a work item
+        self.again = False  # a hand-off was decided anew, as this process stood still
+        self.category: Category | None = None  # where it asks for one
 
     @property
     def id(self) -> bytes:
@@ -37,8 +39,9 @@
 
 class Takes(conversation.House, Protocol):
     """What the scheduler does for the clients' side; nothing of it waits."""
+
     counts: Counts
-    advice: tuple[str, ...]     # fields that tell when to come back
+    advice: tuple[str, ...]  # fields that tell when to come back
 
     def lets_in(self) -> bool: ...
 
@@ -111,16 +114,26 @@
     customer: Customer | None = names.customers.get(message.headers.get(b"x-account", b"").decode("latin-1"))
     hint = (_number(message, "X-Weight-Hint") or 0.0) * 1e-6
     slots = facts(message.headers.get(b"x-facts")).get(b"slots", 1.0)
-    return (category, customer, now, expiry_at, hint, slots if 0 < slots < 1e4 else 1.0,
-            subject(parts[-1] if len(parts) > 2 else b""), message.headers.get(b"x-repeat") == b"1")
+    return (
+        category,
+        customer,
+        now,
+        expiry_at,
+        hint,
+        slots if 0 < slots < 1e4 else 1.0,
+        subject(parts[-1] if len(parts) > 2 else b""),
+        message.headers.get(b"x-repeat") == b"1",
+    )
 
 
 class Conversation(conversation.Conversation):
     """A client's connection."""
+
     kind = Call
 
-    def __init__(self, connection: Connection, limits: Limits, names: Names, scheduler: Takes,
-                 full: bool = False) -> None:
+    def __init__(
+        self, connection: Connection, limits: Limits, names: Names, scheduler: Takes, full: bool = False
+    ) -> None:
         super().__init__(connection, limits, scheduler, full)
         self.names, self.scheduler = names, scheduler
 
--- a/opalwick/protocol/conversation.py
+++ b/opalwick/protocol/conversation.py
@@ -2,6 +2,7 @@
 
 One greenlet reads a connection, one writes it.
 """
+
 from __future__ import annotations
 
 import time
@@ -20,6 +21,7 @@
 
 class Call:
     """One request and the answer that is owed for it."""
+
     __slots__ = ("message", "reply", "close", "changed")
 
     def __init__(self, message: Message, close: bool, changed: Event) -> None:
@@ -34,6 +36,7 @@
 
 class House(Protocol):
     """What is the same for all connections of a process."""
+
     pulse: Pulse
 
     @property
@@ -43,19 +46,20 @@
 
 class Conversation:
     """A client's connection. What is asked is a subclass's: it overrides the hooks, none of which waits."""
-    kind: type[Any] = Call                      # of the calls made here; hooks get that
+
+    kind: type[Any] = Call  # of the calls made here; hooks get that
 
     def __init__(self, connection: Connection, limits: Limits, house: House, full: bool = False) -> None:
         self.connection, self.limits, self.house = connection, limits, house
-        self.full = full                        # at the brim: one answer, then it goes
-        self.owed: deque[Any] = deque()         # in the order asked
-        self.changed = Event()                  # an answer is there, or reading is over
-        self.written = Event()                  # an answer was written, or writing is over
+        self.full = full  # at the brim: one answer, then it goes
+        self.owed: deque[Any] = deque()  # in the order asked
+        self.changed = Event()  # an answer is there, or reading is over
+        self.written = Event()  # an answer was written, or writing is over
         self.over = False
-        self.last = False                       # nothing more is taken: what comes is read and dropped
-        self.asked = 0                          # times, for what counts and in order
-        self.dropped = 0                        # bytes
-        self.came: list[Message] = []           # whole, of what is being read, and not yet looked at
+        self.last = False  # nothing more is taken: what comes is read and dropped
+        self.asked = 0  # times, for what counts and in order
+        self.dropped = 0  # bytes
+        self.came: list[Message] = []  # whole, of what is being read, and not yet looked at
         self.parser = Parser(httptools.HttpRequestParser, limits, self.came.append, self.expects)
 
     # ---- hooks; calls of the connection's own, a fault or leave to send, are answered and done as well
@@ -109,7 +113,7 @@
 
     def close(self) -> None:
         self.over = True
-        self.connection.close()                 # whoever waits on it finds out
+        self.connection.close()  # whoever waits on it finds out
         self.changed.set()
         self.written.set()
 
@@ -117,12 +121,12 @@
         writer = gevent.spawn(self.write)
         try:
             self.read()
-        except OSError:                         # reset, or closed from here
+        except OSError:  # reset, or closed from here
             pass
         finally:
             self.close()
             writer.join()
-            for call in self.owed:              # the client has gone away
+            for call in self.owed:  # the client has gone away
                 if call.reply is None:
                     self.left(call)
                 self.done(call)
@@ -140,11 +144,12 @@
                 return self.drop()
             owed = self.owed and not self.parser.begun
             try:
-                data = self.connection.read(self.limits.idle_client if owed else
-                                            self.due_at() - time.monotonic())
+                data = self.connection.read(
+                    self.limits.idle_client if owed else self.due_at() - time.monotonic()
+                )
             except TimeoutError:
                 if self.owed and not self.parser.begun or time.monotonic() < self.due_at():
-                    continue                    # it was answered meanwhile, or still waits for that
+                    continue  # it was answered meanwhile, or still waits for that
                 if not self.parser.begun:
                     return
                 self.fault(Malformed(408, "the request came too slowly"))
@@ -177,7 +182,7 @@
             if followed or i + 1 < len(came):
                 now = min(now, self.connection.lain_since)
                 message.first_at = min(message.first_at, now)
-            if self.last:                       # what follows a last request is not taken
+            if self.last:  # what follows a last request is not taken
                 continue
             try:
                 self.whole(message, now)
@@ -244,7 +249,7 @@
                         self.changed.clear()
                         self.changed.wait(self.limits.linger)
                     return
-        except OSError:                         # gone, or it does not read
+        except OSError:  # gone, or it does not read
             pass
         finally:
             self.close()
--- a/opalwick/protocol/discovery.py
+++ b/opalwick/protocol/discovery.py
@@ -1,4 +1,5 @@
 """The list of workers: a watch kept without a gap, and its entries."""
+
 from __future__ import annotations
 
 import json
@@ -14,7 +15,7 @@
 from opalwick.transport.limits import Limits
 
 _PHASES = {"ready": Phase.READY, "draining": Phase.DRAINING, "gone": Phase.GONE}
-LONG_AGO = -1e9     # before any start of a clock
+LONG_AGO = -1e9  # before any start of a clock
 
 
 def address(text: Any, least: int = 1) -> Address:
@@ -43,14 +44,23 @@
     for entry in hosts:
         try:
             name, born, zone = str(entry["host"]), float(entry.get("born_ms", 0)), names.zone(entry["site"])
-            if zone > 255:                      # a word to another scheduler gives it a byte
+            if zone > 255:  # a word to another scheduler gives it a byte
                 continue
             # the same number at every scheduler
             number = zlib.crc32(name.encode())
-            found.append((name, number, zone, names.kind(entry["class"]),
-                          int(entry.get("block", 0)), _PHASES[entry["health"]],
-                          born / 1000.0 - unix if born > 0 else LONG_AGO, address(entry["dial"]),
-                          _share(entry.get("share"))))
+            found.append(
+                (
+                    name,
+                    number,
+                    zone,
+                    names.kind(entry["class"]),
+                    int(entry.get("block", 0)),
+                    _PHASES[entry["health"]],
+                    born / 1000.0 - unix if born > 0 else LONG_AGO,
+                    address(entry["dial"]),
+                    _share(entry.get("share")),
+                )
+            )
         except (TypeError, KeyError, ValueError, AttributeError, OverflowError):
             continue
     return version, whole, found
@@ -60,22 +70,41 @@
     """The inverse of `rows`."""
     zones, kinds = ({i: name for name, i in given.items()} for given in (names.zones, names.kinds))
     words = {phase: word for word, phase in _PHASES.items()}
-    return {"seq": version, "whole": True, "hosts": [
-        {"host": name, "dial": "%s:%d" % place, "site": zones[zone], "class": kinds[kind], "block": cell,
-         "health": words[phase], "share": share,
-         "born_ms": round((ready_at + unix) * 1000.0) if ready_at > LONG_AGO else 0}
-        for name, _, zone, kind, cell, phase, ready_at, place, share in found]}
+    return {
+        "seq": version,
+        "whole": True,
+        "hosts": [
+            {
+                "host": name,
+                "dial": "%s:%d" % place,
+                "site": zones[zone],
+                "class": kinds[kind],
+                "block": cell,
+                "health": words[phase],
+                "share": share,
+                "born_ms": round((ready_at + unix) * 1000.0) if ready_at > LONG_AGO else 0,
+            }
+            for name, _, zone, kind, cell, phase, ready_at, place, share in found
+        ],
+    }
 
 
 class Discovery:
     """Calls are made one after the other, by the greenlet that runs `watch`."""
 
-    def __init__(self, place: Address, version: int, names: Names, unix: float, limits: Limits,
-                 listed: Callable[[ListForm, list[tuple]], None]) -> None:
+    def __init__(
+        self,
+        place: Address,
+        version: int,
+        names: Names,
+        unix: float,
+        limits: Limits,
+        listed: Callable[[ListForm, list[tuple]], None],
+    ) -> None:
         self.place, self.version, self.names, self.unix = place, version, names, unix
         self.limits, self.listed = limits, listed
         self.connection: Connection | None = None
-        self.moved = False                      # since the call that is on its way began
+        self.moved = False  # since the call that is on its way began
 
     def move(self, place: Address) -> None:
         """What is on its way is broken off: the old place may stay silent, or tell nothing any more."""
@@ -84,7 +113,7 @@
 
     def watch(self) -> None:
         """Until a call fails: then the reducer asks for another watch when it sees fit."""
-        wait = 0.0                              # the first answer comes at once: the watch is on
+        wait = 0.0  # the first answer comes at once: the watch is on
         try:
             while True:
                 self.moved = False
@@ -94,7 +123,7 @@
                     if not self.moved:
                         raise
                     self.close()
-                    wait = 0.0                  # begun anew elsewhere, without a pause
+                    wait = 0.0  # begun anew elsewhere, without a pause
                     continue
                 self.version = version
                 if found or whole or not wait:
--- a/opalwick/protocol/errand.py
+++ b/opalwick/protocol/errand.py
@@ -1,4 +1,5 @@
 """One request to the other side over a kept connection: from its sending to its outcome."""
+
 from __future__ import annotations
 
 import time
@@ -19,7 +20,7 @@
 
     def __init__(self, limits: Limits, most: int = 0) -> None:
         super().__init__(httptools.HttpResponseParser, limits, self.ended, most=most)
-        self.last: Message | None = None        # the whole answer, once it is over
+        self.last: Message | None = None  # the whole answer, once it is over
 
     def ended(self, message: Message) -> None:
         self.last = message
@@ -27,10 +28,19 @@
 
 class Errand:
     """What it ends with is a subclass's: that listens, and tells it. Here an outcome is an end."""
+
     __slots__ = ("address", "data", "until", "wanted", "pool", "limits", "connection", "answer", "given_up")
 
-    def __init__(self, address: Address, data: bytes, until: float, wanted: Callable[[], bool], pool: Pool,
-                 limits: Limits, answer: Answer) -> None:
+    def __init__(
+        self,
+        address: Address,
+        data: bytes,
+        until: float,
+        wanted: Callable[[], bool],
+        pool: Pool,
+        limits: Limits,
+        answer: Answer,
+    ) -> None:
         self.address, self.data, self.until, self.wanted = address, data, until, wanted
         self.pool, self.limits, self.answer = pool, limits, answer
         self.connection: Connection | None = None
@@ -91,7 +101,7 @@
             self.told(end, kept)
             self.connection = None
             self.finish(connection)
-            del self.wanted                     # which knows this one: only a collection would free them both
+            del self.wanted  # which knows this one: only a collection would free them both
 
     def send(self, connection: Connection) -> Outcome | None:
         """None once the last byte is written; until then it has not run."""
--- a/opalwick/protocol/figures.py
+++ b/opalwick/protocol/figures.py
@@ -1,4 +1,5 @@
 """What a scheduler tells its operators of itself: counts, and the text that holds them."""
+
 from __future__ import annotations
 
 import re
@@ -7,7 +8,7 @@
 from opalwick.interface import Category
 
 _FINALS = ("fulfilled", "throttled", "faulted")
-_ODD = re.compile(r"[^A-Za-z0-9_-]")    # would end a name, or a line
+_ODD = re.compile(r"[^A-Za-z0-9_-]")  # would end a name, or a line
 
 
 class Counts:
@@ -15,7 +16,7 @@
 
     def __init__(self, categories: Iterable[Category]) -> None:
         self.finals = {category: [0, 0, 0] for category in categories}
-        self.relayed = 0                        # hand-offs written whole
+        self.relayed = 0  # hand-offs written whole
 
     def final(self, category: Category, status: int) -> None:
         """An answer that was written, whoever worded it."""
--- a/opalwick/protocol/handover.py
+++ b/opalwick/protocol/handover.py
@@ -3,6 +3,7 @@
 Each is a length and a JSON object with its version and kind. What the other side says is checked like any
 input.
 """
+
 from __future__ import annotations
 
 import json
@@ -12,8 +13,8 @@
 from typing import Any
 
 VERSION = 1
-LONGEST = 8 << 20       # bytes of one message: some thousands of workers, with what was learned
-MOST = 1 << 16          # entries of one field
+LONGEST = 8 << 20  # bytes of one message: some thousands of workers, with what was learned
+MOST = 1 << 16  # entries of one field
 _LENGTH = struct.Struct("!I")
 
 
@@ -36,13 +37,13 @@
         self.held += data
         found = []
         while len(self.held) >= _LENGTH.size:
-            length, = _LENGTH.unpack_from(self.held)
+            (length,) = _LENGTH.unpack_from(self.held)
             if length > LONGEST:
                 raise Odd(f"a message of {length} bytes")
             if len(self.held) < _LENGTH.size + length:
                 break
-            text = bytes(self.held[_LENGTH.size:_LENGTH.size + length])
-            del self.held[:_LENGTH.size + length]
+            text = bytes(self.held[_LENGTH.size : _LENGTH.size + length])
+            del self.held[: _LENGTH.size + length]
             try:
                 told = json.loads(text)
             except (ValueError, RecursionError):
@@ -80,5 +81,8 @@
 def names(told: Mapping[str, Any], key: str) -> list[str]:
     """Ids; odd ones are left out."""
     given = told.get(key)
-    return [name for name in given[:MOST] if isinstance(name, str) and 0 < len(name) <= 255
-            ] if isinstance(given, list) else []
+    return (
+        [name for name in given[:MOST] if isinstance(name, str) and 0 < len(name) <= 255]
+        if isinstance(given, list)
+        else []
+    )
--- a/opalwick/protocol/http.py
+++ b/opalwick/protocol/http.py
@@ -1,4 +1,5 @@
 """HTTP/1.1 messages, parsed by httptools within the limits."""
+
 from __future__ import annotations
 
 import time
@@ -24,7 +25,7 @@
 
     def __init__(self, first_at: float) -> None:
         self.method = self.target = self.body = b""
-        self.headers: dict[bytes, bytes] = {}   # by lower-case name
+        self.headers: dict[bytes, bytes] = {}  # by lower-case name
         self.status, self.keep_alive, self.first_at = 0, True, first_at
 
 
@@ -35,18 +36,24 @@
 class Parser:
     """Feeds bytes to httptools and hands on each message when it is whole."""
 
-    def __init__(self, kind: Any, limits: Limits, whole: Callable[[Message], None],
-                 expects: Callable[[], None] | None = None, most: int = 0) -> None:
+    def __init__(
+        self,
+        kind: Any,
+        limits: Limits,
+        whole: Callable[[Message], None],
+        expects: Callable[[], None] | None = None,
+        most: int = 0,
+    ) -> None:
         self.limits, self.whole, self.now = limits, whole, 0.0
-        self.most = most or limits.body         # bytes of a body
-        self.expects = expects                  # called when the other side waits for leave to send a body
+        self.most = most or limits.body  # bytes of a body
+        self.expects = expects  # called when the other side waits for leave to send a body
         self.message, self.begun = Message(0.0), False  # begun: and not yet whole
-        self.headed = False                     # the message's fields are complete
-        self.head = 0                           # bytes of fields so far
-        self.unread = 0                         # bytes fed since the head began, while it is not complete
+        self.headed = False  # the message's fields are complete
+        self.head = 0  # bytes of fields so far
+        self.unread = 0  # bytes fed since the head began, while it is not complete
         self.problem: Malformed | None = None
-        self.parts: list[bytes] = []            # of the body
-        self.held = 0                           # their bytes
+        self.parts: list[bytes] = []  # of the body
+        self.held = 0  # their bytes
         self.parser = kind(self)
 
     def feed(self, data: memoryview, now: float = 0.0) -> None:
@@ -87,7 +94,7 @@
         self.head += len(name) + len(value)
         if self.head > self.limits.head or len(self.message.headers) >= self.limits.headers:
             self.wrong(431, "header fields too large")
-        if self.headed:                         # what follows a body must not take the place of the head
+        if self.headed:  # what follows a body must not take the place of the head
             return
         # httptools hands on the blanks after a value that came in pieces; they are no part of it
         name, value = name.lower(), value.strip(b" \t")
@@ -102,7 +109,7 @@
             self.wrong(413, "body too large")
         if self.message.headers.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
             self.wrong(400, "no other coding is spoken here")
-        if self.parser.should_upgrade():        # httptools would leave the rest unread
+        if self.parser.should_upgrade():  # httptools would leave the rest unread
             self.wrong(400, "no other protocol is spoken here")
         if self.expects is not None and self.message.headers.get(b"expect", b"").lower() == b"100-continue":
             self.expects()
@@ -122,12 +129,12 @@
             message.method = self.parser.get_method()
         else:
             message.status = self.parser.get_status_code()
-            if message.status < 200:            # the answer itself is still to come
+            if message.status < 200:  # the answer itself is still to come
                 return
         self.whole(message)
 
 
-_NO_BLAME = (408, 425, 429)     # those tell of the moment, not of what was asked
+_NO_BLAME = (408, 425, 429)  # those tell of the moment, not of what was asked
 
 
 def blames(status: int) -> bool:
@@ -135,9 +142,20 @@
     return 400 <= status < 500 and status not in _NO_BLAME
 
 
-REASONS = {100: "Continue", 200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-           408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 414: "URI Too Long",
-           431: "Request Header Fields Too Large", 503: "Service Unavailable", 504: "Gateway Timeout"}
+REASONS = {
+    100: "Continue",
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    414: "URI Too Long",
+    431: "Request Header Fields Too Large",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
 
 
 def response(status: int, body: bytes, close: bool, *fields: str) -> bytes:
@@ -149,8 +167,14 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
 
 
-def received(connection: Connection, limits: Limits, until: float, most: int = 0,
-             kind: Any = httptools.HttpResponseParser, expects: Callable[[], None] | None = None) -> Message:
+def received(
+    connection: Connection,
+    limits: Limits,
+    until: float,
+    most: int = 0,
+    kind: Any = httptools.HttpResponseParser,
+    expects: Callable[[], None] | None = None,
+) -> Message:
     """The next message of this kind, once it is whole; ConnectionError where the other side ends before."""
     done: list[Message] = []
     parser = Parser(kind, limits, done.append, expects, most)
--- a/opalwick/protocol/operators.py
+++ b/opalwick/protocol/operators.py
@@ -1,4 +1,5 @@
 """The second address: what operators call, and what they are told. One call to a connection."""
+
 from __future__ import annotations
 
 import re
@@ -14,8 +15,15 @@
 
 _BAD_ESCAPE = re.compile(rb"%(?![0-9A-Fa-f]{2})")
 _LONGEST_ID = 255
-_METHODS = {b"/ready": b"GET", b"/metrics": b"GET", b"/workers/disable": b"PUT", b"/workers/enable": b"PUT",
-            b"/drain": b"PUT", b"/undrain": b"PUT", b"/fleet/members": b"GET"}
+_METHODS = {
+    b"/ready": b"GET",
+    b"/metrics": b"GET",
+    b"/workers/disable": b"PUT",
+    b"/workers/enable": b"PUT",
+    b"/drain": b"PUT",
+    b"/undrain": b"PUT",
+    b"/fleet/members": b"GET",
+}
 
 
 class Serves(Protocol):
@@ -82,6 +90,7 @@
 
 def converse(connection: Connection, limits: Limits, serves: Serves, until: float) -> None:
     """One call from its first byte to its answer; OSError where it ends otherwise."""
+
     def go_on() -> None:
         connection.write(response(100, b"", False), until - time.monotonic())
 
--- a/opalwick/protocol/probes.py
+++ b/opalwick/protocol/probes.py
@@ -1,4 +1,5 @@
 """One probe of a worker's load, from its connection to its answer."""
+
 from __future__ import annotations
 
 import json
@@ -27,13 +28,15 @@
         if not connection.used:
             connection.used = 1
             connection.connect(address, min(limits.connect, limits.probe))
-        connection.write(b"GET /-/load HTTP/1.1\r\nHost: %b\r\n\r\n" % ("%s:%d" % address).encode(),
-                         until - time.monotonic())
+        connection.write(
+            b"GET /-/load HTTP/1.1\r\nHost: %b\r\n\r\n" % ("%s:%d" % address).encode(),
+            until - time.monotonic(),
+        )
         found = received(connection, limits, until)
     except (OSError, Malformed):
         pass
     if found is None or not found.keep_alive:
-        connection.close()                      # what comes late must not be taken for another answer
+        connection.close()  # what comes late must not be taken for another answer
     pool.give(address, connection)
     # 503 tells that it wants nothing new; its load is its load
     return report(found.body, names) if found is not None and found.status in (200, 503) else ()
--- a/opalwick/protocol/settings.py
+++ b/opalwick/protocol/settings.py
@@ -1,4 +1,5 @@
 """The settings that a scheduler gets at its start: decoded once, for every front; their names end here."""
+
 from __future__ import annotations
 
 import math
@@ -96,42 +97,64 @@
         except ValueError:
             raise BadStart(f"start value family-info.class-stretch is malformed: {stretches[i]!r}") from None
         expiry = values.seconds(at + "expiry-us")
-        categories.append(Category(
-            values.number(at + "credit"), values.choice(at + "effect", _EFFECTS),
-            values.choice(at + "group", groups, "all"), values.seconds(at + "due-time-us"), stretch, expiry,
-            values.number(at + "tardy-credit", 0.0), values.seconds(at + "window-us", expiry),
-            int(kinds[i]) if i < len(kinds) else -1))
-    customers = [Customer(values.number(f"tenants.{i}.quota-per-s", 0.0))
-                 for i in range(int(values.number("tenants.count", 0.0)))]
+        categories.append(
+            Category(
+                values.number(at + "credit"),
+                values.choice(at + "effect", _EFFECTS),
+                values.choice(at + "group", groups, "all"),
+                values.seconds(at + "due-time-us"),
+                stretch,
+                expiry,
+                values.number(at + "tardy-credit", 0.0),
+                values.seconds(at + "window-us", expiry),
+                int(kinds[i]) if i < len(kinds) else -1,
+            )
+        )
+    customers = [
+        Customer(values.number(f"tenants.{i}.quota-per-s", 0.0))
+        for i in range(int(values.number("tenants.count", 0.0)))
+    ]
     extra = {f"x{n}": values.text(f"family-info.report-x{n}", "") for n in (0, 1)}
-    report = tuple(Report.FREE_SLOTS if extra.get(name) == "free_slots" else _REPORT.get(name, "")
-                   for name in values.row("load-report.names"))
+    report = tuple(
+        Report.FREE_SLOTS if extra.get(name) == "free_slots" else _REPORT.get(name, "")
+        for name in values.row("load-report.names")
+    )
     return Terms(
-        categories=categories, customers=customers, zone=int(values.number("az", 0.0)),
+        categories=categories,
+        customers=customers,
+        zone=int(values.number("az", 0.0)),
         schedulers=max(1, int(values.number("peers-total"))),
         hand_offs=int(values.number("ceilings.max-hand-offs")),
-        may_copy=values.flag("ceilings.parallel-tries"), may_cancel=values.flag("ceilings.may-cancel"),
+        may_copy=values.flag("ceilings.parallel-tries"),
+        may_cancel=values.flag("ceilings.may-cancel"),
         may_tell=values.flag("ceilings.peers"),
-        retry_after=(values.seconds("ceilings.max-retry-after-us", 0.0)
-                     if values.flag("ceilings.retry-after") else 0.0),
+        retry_after=(
+            values.seconds("ceilings.max-retry-after-us", 0.0) if values.flag("ceilings.retry-after") else 0.0
+        ),
         by_work=values.choice("credit-basis", {"work": True, "request": False}),
         excess_credit=values.number("excess-credit", 1.0),
-        price_cross=values.number("prices.cross-zone", 0.0), price_tell=values.number("prices.peer", 0.0),
+        price_cross=values.number("prices.cross-zone", 0.0),
+        price_tell=values.number("prices.peer", 0.0),
         position=int(values.number("position", 0.0)),
         must_ask=values.choice("discovery", {"ask": True, "push": False}),
         ask_every=values.seconds("guarantees.ask-every-us", 10.0),
         fall_multiple=values.number("guarantees.fall-multiple"),
-        fall_span=values.seconds("guarantees.fall-us"), cold_share=values.number("guarantees.cold-share"),
+        fall_span=values.seconds("guarantees.fall-us"),
+        cold_share=values.number("guarantees.cold-share"),
         ramp=values.seconds("guarantees.ramp-time-us"),
         tells_start=values.flag("family-info.tells-start", "false"),
         progress_every=values.seconds("family-info.progress-us", 0.0),
-        tick=values.seconds("tick-us", 0.005), cpu=values.seconds("ceilings.cpu-us-per-request", 0.0),
+        tick=values.seconds("tick-us", 0.005),
+        cpu=values.seconds("ceilings.cpu-us-per-request", 0.0),
         sized=values.choice("weights", _SIZED, "silent"),
         may_probe=values.flag("ceilings.may-probe", "false"),
-        price_probe=values.number("prices.probe", 0.0), price_fetch=values.number("prices.origin", 0.0),
+        price_probe=values.number("prices.probe", 0.0),
+        price_fetch=values.number("prices.origin", 0.0),
         marks_repeats=values.flag("callers.marks-retry", "false"),
         drains_alone=values.flag("guarantees.only-draining-binds", "false"),
-        reports=values.choice("load-report.how", _REPORTS, "piggyback"), report=report)
+        reports=values.choice("load-report.how", _REPORTS, "piggyback"),
+        report=report,
+    )
 
 
 def refuse_mixed(given: Mapping[str, str]) -> None:
@@ -152,11 +175,12 @@
 @dataclass(slots=True)
 class Names:
     """What the names on the sockets stand for."""
+
     categories: dict[str, Category]
     customers: dict[str, Customer]
     zones: dict[str, int]
     kinds: dict[str, int]
-    figures: list[str]      # of a worker's report, in the order of `Terms.report`
+    figures: list[str]  # of a worker's report, in the order of `Terms.report`
 
     def zone(self, name: str) -> int:
         return self.zones.setdefault(name, len(self.zones))
@@ -168,6 +192,10 @@
 def read_names(given: Mapping[str, str], terms: Terms) -> Names:
     values = Values(given)
     zones, kinds = ({name: i for i, name in enumerate(values.row(key))} for key in ("localities", "skus"))
-    return Names({values.text(f"categories.{i}.name"): c for i, c in enumerate(terms.categories)},
-                 {values.text(f"tenants.{i}.name"): c for i, c in enumerate(terms.customers)},
-                 zones, kinds, values.row("load-report.names"))
+    return Names(
+        {values.text(f"categories.{i}.name"): c for i, c in enumerate(terms.categories)},
+        {values.text(f"tenants.{i}.name"): c for i, c in enumerate(terms.customers)},
+        zones,
+        kinds,
+        values.row("load-report.names"),
+    )
--- a/opalwick/protocol/words.py
+++ b/opalwick/protocol/words.py
@@ -1,4 +1,5 @@
 """What schedulers tell each other, as octets of at most 256, for every front."""
+
 from __future__ import annotations
 
 import math
@@ -19,8 +20,14 @@
 
 
 def _rows(rows: list[Row]) -> bytes:
-    return b"".join([_ROW.pack(short(w.id), min(255, round(slots * 2)),
-                               min(255, round(20.0 * math.log1p(20.0 * left)))) for w, slots, left in rows])
+    return b"".join(
+        [
+            _ROW.pack(
+                short(w.id), min(255, round(slots * 2)), min(255, round(20.0 * math.log1p(20.0 * left)))
+            )
+            for w, slots, left in rows
+        ]
+    )
 
 
 def packed(decision: Tell | Sum) -> Iterator[bytes]:
@@ -31,8 +38,9 @@
         return
     # a zone of more workers than fit takes several: what is left out would stay as last told
     for at in range(0, max(1, len(decision.rows)), _FIT):
-        yield (_SUM.pack(1, decision.zone, decision.mark, decision.heard)
-               + _rows(decision.rows[at:at + _FIT]))
+        yield (
+            _SUM.pack(1, decision.zone, decision.mark, decision.heard) + _rows(decision.rows[at : at + _FIT])
+        )
 
 
 def unpacked(octets: bytes, shorts: dict[int, Worker | None]) -> tuple[str, list] | None:
@@ -41,6 +49,9 @@
     if head is None or len(octets) < head.size or (len(octets) - head.size) % _ROW.size:
         return None
     _, zone, mark, *heard = head.unpack_from(octets)
-    rows = [(w, slots * 0.5, _SECONDS[left]) for key, slots, left in _ROW.iter_unpack(octets[head.size:])
-            if (w := shorts.get(key)) is not None]
+    rows = [
+        (w, slots * 0.5, _SECONDS[left])
+        for key, slots, left in _ROW.iter_unpack(octets[head.size :])
+        if (w := shorts.get(key)) is not None
+    ]
     return ("told", [mark, zone, rows]) if head is _WORD else ("summed", [mark, zone, *heard, rows])
--- a/opalwick/protocol/workers.py
+++ b/opalwick/protocol/workers.py
@@ -1,4 +1,5 @@
 """The workers' side: one hand-off, from its connection to its outcome."""
+
 from __future__ import annotations
 
 import json
@@ -14,8 +15,12 @@
 from opalwick.transport.limits import Limits
 from opalwick.transport.pool import Pool
 
-_STATES = {"done": Outcome.FINISHED, "failed": Outcome.ERROR,
-           "returned": Outcome.FULL, "lost": Outcome.BROKEN}
+_STATES = {
+    "done": Outcome.FINISHED,
+    "failed": Outcome.ERROR,
+    "returned": Outcome.FULL,
+    "lost": Outcome.BROKEN,
+}
 
 
 def figures(load: Any, names: Sequence[str]) -> tuple[float, ...]:
@@ -51,15 +56,15 @@
 
     def __init__(self, limits: Limits) -> None:
         super().__init__(limits)
-        self.line = b""                         # begun, not whole
-        self.lines: list[bytes] = []            # not yet looked at
+        self.line = b""  # begun, not whole
+        self.lines: list[bytes] = []  # not yet looked at
 
     def on_body(self, part: bytes) -> None:
         self.unread = 0
         if self.parser.get_status_code() != 200:
             return
         *whole, self.line = (self.line + part).split(b"\n")
-        if len(self.line) > 8 * self.limits.body:   # a result may be escaped, with six bytes for one
+        if len(self.line) > 8 * self.limits.body:  # a result may be escaped, with six bytes for one
             self.wrong(502, "a line too long")
         self.lines += whole
 
@@ -69,27 +74,37 @@
         super().ended(message)
 
 
-End = tuple[Outcome, tuple[float, ...], bytes]     # with the load report and the result that came along
+End = tuple[Outcome, tuple[float, ...], bytes]  # with the load report and the result that came along
 
 
 class HandingOff(errand.Errand):
     """One hand-off on its way; `tell` gets the reducer's inputs of it."""
+
     __slots__ = ("id", "names", "counts", "tell", "fault")
     answer: Answer
 
-    def __init__(self, address: Address, message: Message, until: float, wanted: Callable[[], bool],
-                 pool: Pool, limits: Limits, names: Sequence[str], counts: Counts,
-                 tell: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        address: Address,
+        message: Message,
+        until: float,
+        wanted: Callable[[], bool],
+        pool: Pool,
+        limits: Limits,
+        names: Sequence[str],
+        counts: Counts,
+        tell: Callable[..., None],
+    ) -> None:
         data = request(message, "%s:%d" % address, until - time.monotonic())
         super().__init__(address, data, until, wanted, pool, limits, Answer(limits))
         self.id = message.headers[b"x-correlation-id"].decode("latin-1")
         self.names, self.counts, self.tell = names, counts, tell
-        self.fault = 0                          # the status by which the worker blames the client
+        self.fault = 0  # the status by which the worker blames the client
 
     def told(self, end: End, kept: bool) -> None:
         outcome, load, result = end
         self.tell("ended", outcome, bool(self.fault), load, result, kept)
-        del self.tell                           # which knows this one, as `wanted` does
+        del self.tell  # which knows this one, as `wanted` does
 
     def bare(self, outcome: Outcome) -> End:
         return outcome, (), b""
@@ -126,9 +141,9 @@
             told = json.loads(line)
             state = told["state"]
             if told.get("id", self.id) != self.id:
-                return None                     # of another request
+                return None  # of another request
         except (ValueError, TypeError, KeyError, AttributeError):
-            return None                         # an odd line is passed over
+            return None  # an odd line is passed over
         if state == "started":
             self.tell("began")
         elif state == "running":
@@ -138,7 +153,7 @@
         elif state in _STATES:
             result, outcome = told.get("result"), _STATES[state]
             if outcome is Outcome.FINISHED and not isinstance(result, str):
-                outcome = Outcome.ERROR         # it ran, but there is nothing to hand on
+                outcome = Outcome.ERROR  # it ran, but there is nothing to hand on
             return outcome, figures(told.get("load"), self.names), result.encode() if result else b""
         return None
 
--- a/opalwick/routing/learned.py
+++ b/opalwick/routing/learned.py
@@ -3,6 +3,7 @@
 Times go as they are: both processes read one clock. What comes back is checked number by number, and what is
 odd is left out: it was only learned, and will be again.
 """
+
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
@@ -13,12 +14,44 @@
 from opalwick.protocol.handover import number
 
 # of each object the fields that tell what it has shown, not what is out for it now
-_ALL = ("firsts", "copies", "rate", "taken_at", "largest", "mean_run", "noise", "full", "queue", "failing",
-        "others", "fetch", "value", "work")
+_ALL = (
+    "firsts",
+    "copies",
+    "rate",
+    "taken_at",
+    "largest",
+    "mean_run",
+    "noise",
+    "full",
+    "queue",
+    "failing",
+    "others",
+    "fetch",
+    "value",
+    "work",
+)
 _CATEGORY = ("run", "ended", "allowance")
 _KIND = ("ran", "asked", "size", "reports")
-_WORKER = ("mean", "mean_at", "others", "others_at", "ran", "ran_at", "asked", "failed", "tried", "failed_at",
-           "limit", "sign_at", "doubt", "shun_until", "turned", "rest_until", "told_busy", "told_left")
+_WORKER = (
+    "mean",
+    "mean_at",
+    "others",
+    "others_at",
+    "ran",
+    "ran_at",
+    "asked",
+    "failed",
+    "tried",
+    "failed_at",
+    "limit",
+    "sign_at",
+    "doubt",
+    "shun_until",
+    "turned",
+    "rest_until",
+    "told_busy",
+    "told_left",
+)
 _ZONE = ("trip", "note_in", "answered", "heard_at", "heard")
 
 
@@ -42,11 +75,13 @@
 
 
 def exported(balancer: Balancer, workers: Mapping[Any, Worker]) -> dict[str, Any]:
-    return {"all": _told(balancer, _ALL),
-            "categories": [_told(c, _CATEGORY) for c in balancer.terms.categories],
-            "kinds": {str(i): _told(kind, _KIND) for i, kind in balancer.kinds.items()},
-            "zones": {str(i): _told(zone, _ZONE) for i, zone in balancer.zones.items()},
-            "workers": {name: [_told(w, _WORKER), w.sends] for name, w in workers.items()}}
+    return {
+        "all": _told(balancer, _ALL),
+        "categories": [_told(c, _CATEGORY) for c in balancer.terms.categories],
+        "kinds": {str(i): _told(kind, _KIND) for i, kind in balancer.kinds.items()},
+        "zones": {str(i): _told(zone, _ZONE) for i, zone in balancer.zones.items()},
+        "workers": {name: [_told(w, _WORKER), w.sends] for name, w in workers.items()},
+    }
 
 
 def imported(balancer: Balancer, workers: Mapping[Any, Worker], told: Any) -> None:
@@ -66,6 +101,9 @@
         if isinstance(shown, list) and len(shown) == 2 and isinstance(shown[1], list):
             _take(w, _WORKER, shown[0])
             # the budget of a cold worker counts what either process sent it
-            w.sends = [(send[0], send[1]) for send in shown[1]
-                       if isinstance(send, list) and len(send) == 2 and None not in map(number, send)]
+            w.sends = [
+                (send[0], send[1])
+                for send in shown[1]
+                if isinstance(send, list) and len(send) == 2 and None not in map(number, send)
+            ]
     balancer.resize()
--- a/opalwick/routing/reducer.py
+++ b/opalwick/routing/reducer.py
@@ -2,6 +2,7 @@
 
 The keys of work items are whatever the front gives: they are only kept and handed back.
 """
+
 from __future__ import annotations
 
 import math
@@ -11,8 +12,24 @@
 
 from opalwick import interface
 from opalwick.balance import Balancer
-from opalwick.interface import (Cancel, Category, Customer, Defer, HandOff, ListForm, Outcome, Phase,
-                                Subscribe, Sum, Tell, Terms, Wake, Worker, WorkItem, WriteOff)
+from opalwick.interface import (
+    Cancel,
+    Category,
+    Customer,
+    Defer,
+    HandOff,
+    ListForm,
+    Outcome,
+    Phase,
+    Subscribe,
+    Sum,
+    Tell,
+    Terms,
+    Wake,
+    Worker,
+    WorkItem,
+    WriteOff,
+)
 from opalwick.protocol.words import packed, short, unpacked
 from opalwick.routing import learned
 
@@ -28,7 +45,7 @@
     key: Any
     number: int
     worker: Any
-    place: Any              # where the worker is, as last listed
+    place: Any  # where the worker is, as last listed
     give_up_after: float
 
 
@@ -74,7 +91,7 @@
         self.places: dict[Worker, Any] = {}
         self.shorts: dict[int, Worker | None] = {}  # by folded id; None: two workers share it
         self.finished: list[Answer] = []
-        self.leave_at = math.inf                    # by then all must be answered
+        self.leave_at = math.inf  # by then all must be answered
 
     def reduce(self, now: float, kind: str, *fields: Any) -> Iterator[Effect]:
         """Takes in one input, named as its method below; gives the effects, to be carried out in order."""
@@ -130,12 +147,23 @@
         """The list is to be had at another place."""
         self.balancer.moved()
 
-    def taken(self, key: Hashable, category: Category, customer: Customer | None,
-              taken_at: float, expiry_at: float, hint: float, slots: float, subject: int = 0,
-              repeat: bool = False, calls: float = math.inf) -> None:
+    def taken(
+        self,
+        key: Hashable,
+        category: Category,
+        customer: Customer | None,
+        taken_at: float,
+        expiry_at: float,
+        hint: float,
+        slots: float,
+        subject: int = 0,
+        repeat: bool = False,
+        calls: float = math.inf,
+    ) -> None:
         """`calls`: hand-offs that the front can carry at once; more come with `asked`."""
-        wi = self.items[key] = WorkItem(key, category, customer, taken_at, expiry_at, hint, slots, subject,
-                                        repeat, calls=calls)
+        wi = self.items[key] = WorkItem(
+            key, category, customer, taken_at, expiry_at, hint, slots, subject, repeat, calls=calls
+        )
         self.balancer.taken(wi)
         self._leave(wi)
 
@@ -149,8 +177,16 @@
             self.balancer.left(wi)
             self._forget(wi)
 
-    def ended(self, key: Hashable, number: int, outcome: Outcome, answered: bool = False,
-              figures: Sequence[float] = (), result: Any = None, kept: bool = False) -> None:
+    def ended(
+        self,
+        key: Hashable,
+        number: int,
+        outcome: Outcome,
+        answered: bool = False,
+        figures: Sequence[float] = (),
+        result: Any = None,
+        kept: bool = False,
+    ) -> None:
         """`kept`: over a connection from before, which broke without a word."""
         ho = self._hand_off(key, number)
         if ho is None or ho.ended:
@@ -160,7 +196,7 @@
         if outcome is Outcome.FINISHED and not ho.wi.answered:
             self.finished.append(Answer(key, Final.FINISHED, result))
             answered = True
-        elif answered:                          # by the door: what else is out for it is taken back
+        elif answered:  # by the door: what else is out for it is taken back
             self.balancer.left(ho.wi)
         self.balancer.ended(ho, outcome, answered, kept)
         self._forget(ho.wi)
@@ -208,8 +244,10 @@
 
     def rows(self) -> list[tuple]:
         """All workers that were ever listed, as `listed` takes them."""
-        return [(name, w.id, w.zone, w.kind, w.cell, w.phase, w.ready_at, self.places[w], w.share)
-                for name, w in self.workers.items()]
+        return [
+            (name, w.id, w.zone, w.kind, w.cell, w.phase, w.ready_at, self.places[w], w.share)
+            for name, w in self.workers.items()
+        ]
 
     def out(self) -> list[Hashable]:
         """The workers left out by hand."""
@@ -230,8 +268,7 @@
     def gauges(self) -> dict[str, int]:
         """Of the workers, as they are at this moment."""
         listed = [w for w in self.balancer.listed_all if w.phase is not Phase.GONE]
-        return {"registry_entries": len(listed),
-                "out_of_rotation": sum(map(self.balancer.avoids, listed))}
+        return {"registry_entries": len(listed), "out_of_rotation": sum(map(self.balancer.avoids, listed))}
 
     def beliefs(self, now: float) -> list[tuple]:
         """What it takes to be so of the fleet as a whole, for whoever records it: of the sums of each zone
@@ -239,8 +276,14 @@
         """
         b = self.balancer
         count = self.terms.schedulers
-        return [("sums", z.id, z.keeper(count, b.absent), max(0.0, min(now - z.heard_at, 1e6)), z.heard)
-                for z in b.zones.values()] if b.tells else []
+        return (
+            [
+                ("sums", z.id, z.keeper(count, b.absent), max(0.0, min(now - z.heard_at, 1e6)), z.heard)
+                for z in b.zones.values()
+            ]
+            if b.tells
+            else []
+        )
 
     # ---- effects
 
--- a/opalwick/sums.py
+++ b/opalwick/sums.py
@@ -1,4 +1,5 @@
 """Bookkeeping of a keeper: what all schedulers said they have in flight in a zone, and the sums of it."""
+
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
@@ -13,15 +14,15 @@
 
 class Sums:
     def __init__(self) -> None:
-        self.words: dict[tuple[int, int], tuple[int, float, Sequence[Row]]] = {}    # the oldest first
+        self.words: dict[tuple[int, int], tuple[int, float, Sequence[Row]]] = {}  # the oldest first
         self.askers: dict[tuple[int, int], None] = {}
         self.totals: dict[Worker, tuple[float, float]] = {}
-        self.heard: dict[int, int] = {}         # zone: schedulers whose words are held
+        self.heard: dict[int, int] = {}  # zone: schedulers whose words are held
 
     def told(self, now: float, peer: int, mark: int, zone: int, rows: Sequence[Row]) -> None:
         key = peer, zone
         if key in self.words and older(mark, self.words[key][0]):
-            return                              # it came late
+            return  # it came late
         self._drop(key)
         self.words[key] = mark, now, rows
         self.askers[key] = None
--- a/opalwick/transport/connection.py
+++ b/opalwick/transport/connection.py
@@ -1,4 +1,5 @@
 """A connection: a blocking-style socket with a ring a direction."""
+
 from __future__ import annotations
 
 import errno
@@ -27,22 +28,36 @@
 
 
 class Connection:
-    __slots__ = ("sock", "inward", "outward", "closed", "opened_at", "idle_since", "rested", "used",
-                 "empty_at", "lain_since", "waited", "overtime", "address", "known")
+    __slots__ = (
+        "sock",
+        "inward",
+        "outward",
+        "closed",
+        "opened_at",
+        "idle_since",
+        "rested",
+        "used",
+        "empty_at",
+        "lain_since",
+        "waited",
+        "overtime",
+        "address",
+        "known",
+    )
 
     def __init__(self, sock: Any, room: int, empty_at: float = 0.0) -> None:
         """`empty_at`: when nothing had come on it yet for sure; 0: now."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock, self.inward, self.outward = sock, Ring(room), Ring(room)
         self.closed, self.used = False, 0
-        self.address: Address = ("", 0)         # that the pool opened it to
-        self.known = b""                        # who answers there, once somebody has asked
-        self.rested = 0.0                       # seconds idle before its latest use
+        self.address: Address = ("", 0)  # that the pool opened it to
+        self.known = b""  # who answers there, once somebody has asked
+        self.rested = 0.0  # seconds idle before its latest use
         self.opened_at = self.idle_since = time.monotonic()
         self.empty_at = empty_at or self.opened_at
         # of what was read last: when it came at the earliest, and whether it was waited for
         self.lain_since, self.waited = self.empty_at, False
-        self.overtime = 0                       # reads in a row after the time was over
+        self.overtime = 0  # reads in a row after the time was over
 
     def connect(self, address: Address, within: float) -> None:
         self.sock.settimeout(max(0.0, within))
@@ -64,7 +79,7 @@
             raise ConnectionAbortedError("closed from here")
         ring = self.inward
         if ring.size == len(ring.view):
-            gevent.sleep(0)                     # more is waiting: one that floods lets the others in between
+            gevent.sleep(0)  # more is waiting: one that floods lets the others in between
         ring.drop(ring.size)
         # what lies there counts before the time that is over: it may be over as this process stood still. But
         # so many reads only, a body's worth: one that goes on sending must not have time for ever
@@ -83,10 +98,10 @@
                 raise
             count = self.sock.recv_into(ring.free())
         self.waited, self.lain_since = loop.iteration != turn, self.empty_at
-        if self.waited:                         # the kernel had nothing as the waiting began
+        if self.waited:  # the kernel had nothing as the waiting began
             self.lain_since = max(began, self.lain_since)
         ring.filled(count)
-        if count < len(ring.view):              # and nothing more now
+        if count < len(ring.view):  # and nothing more now
             self.empty_at = time.monotonic()
         return ring.held()
 
@@ -107,7 +122,7 @@
         self.inward.drop(self.inward.size)
         self.sock.settimeout(None)
         count = self.sock.recv_into(_DROPPED)
-        gevent.sleep(0)                         # one that floods lets the others in between
+        gevent.sleep(0)  # one that floods lets the others in between
         return count
 
     def write(self, data: bytes, within: float) -> None:
@@ -116,7 +131,7 @@
             raise ConnectionAbortedError("closed from here")
         end, rest, ring = time.monotonic() + within, memoryview(data), self.outward
         while rest or ring.size:
-            rest = rest[ring.put(rest):]
+            rest = rest[ring.put(rest) :]
             left = end - time.monotonic()
             if left <= 0:
                 raise TimeoutError
@@ -140,7 +155,7 @@
 
 def bind(sock: Any, place: Address) -> None:
     """At a restart the one before may still hold the place for a moment."""
-    until = time.monotonic() + 5.0              # far longer than a killed process takes to go
+    until = time.monotonic() + 5.0  # far longer than a killed process takes to go
     while True:
         try:
             return sock.bind(place)
--- a/opalwick/transport/datagrams.py
+++ b/opalwick/transport/datagrams.py
@@ -1,4 +1,5 @@
 """Datagrams: sending never waits, and what cannot go now is lost like any other."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -8,8 +9,8 @@
 
 from opalwick.transport.connection import Address, bind
 
-LONGEST = 256   # bytes
-AT_ONCE = 32    # some words from each of a few peers
+LONGEST = 256  # bytes
+AT_ONCE = 32  # some words from each of a few peers
 
 
 class Datagrams:
@@ -33,7 +34,7 @@
         try:
             while True:
                 self.sock.recv(LONGEST + 1)
-        except OSError:                         # none left
+        except OSError:  # none left
             pass
 
     def receive(self, heard: Callable[[Address, bytes], None]) -> None:
@@ -43,7 +44,7 @@
             for _ in range(AT_ONCE):
                 try:
                     octets, sender = self.sock.recvfrom(LONGEST + 1)
-                except OSError:                 # none left; or an unreachable peer, told on the next call
+                except OSError:  # none left; or an unreachable peer, told on the next call
                     break
                 heard(sender, octets)
-            gevent.sleep(0)                     # one that floods must let the others in between
+            gevent.sleep(0)  # one that floods must let the others in between
--- a/opalwick/transport/idle.py
+++ b/opalwick/transport/idle.py
@@ -1,4 +1,5 @@
 """How long a kept connection may stand idle, as the other side shows it."""
+
 from __future__ import annotations
 
 
@@ -6,7 +7,7 @@
     """The other side may close sooner than it says, and nothing may tell of it until the next use."""
 
     def __init__(self, longest: float) -> None:
-        self.longest = self.now = longest       # seconds
+        self.longest = self.now = longest  # seconds
 
     def learn(self, rested: float, held: bool) -> None:
         """A connection that had been idle so long broke at its next use, or held."""
--- a/opalwick/transport/pool.py
+++ b/opalwick/transport/pool.py
@@ -1,4 +1,5 @@
 """Connections that are kept for reuse, within a budget of descriptors."""
+
 from __future__ import annotations
 
 import math
@@ -18,16 +19,16 @@
         """`each`: connections to one address, in use and kept; 0: only `most` binds."""
         self.most, self.ring, self.each, self.open = most, ring, each, 0
         self.open_to: Counter[Address] = Counter()
-        self.each_to: dict[Address, int] = {}               # where it is another number than `each`
+        self.each_to: dict[Address, int] = {}  # where it is another number than `each`
         self.idle = IdleTime(idle)
-        self.idle_of: dict[Address, float] = {}             # of those that said so, while any is open
-        self.kept: dict[Address, list[Connection]] = {}     # the latest used last
+        self.idle_of: dict[Address, float] = {}  # of those that said so, while any is open
+        self.kept: dict[Address, list[Connection]] = {}  # the latest used last
 
     def take(self, address: Address) -> Connection:
         """A connection that is open, or a new one that is not yet connected (`used` is 0)."""
         kept = self.kept.get(address)
         while kept:
-            connection = kept.pop()             # the latest used: the rest can grow old and go
+            connection = kept.pop()  # the latest used: the rest can grow old and go
             # a request that crosses the other side's close may have run: neither old nor closed ones are used
             connection.rested = time.monotonic() - connection.idle_since
             if connection.rested < self.rest(address) and not connection.readable():
@@ -41,7 +42,7 @@
             raise NoRoom
         try:
             connection = opened(self.ring)
-        except OSError as problem:              # the process has fewer descriptors than it was told
+        except OSError as problem:  # the process has fewer descriptors than it was told
             raise NoRoom from problem
         connection.address = address
         self.open += 1
@@ -69,7 +70,7 @@
         self.open -= 1
         address = connection.address
         self.open_to[address] -= 1
-        if not self.open_to[address]:           # addresses come and go
+        if not self.open_to[address]:  # addresses come and go
             del self.open_to[address]
             self.idle_of.pop(address, None)
         connection.close()
@@ -81,8 +82,9 @@
 
     def shed(self) -> bool:
         """At the brim: the connection that has been idle longest goes."""
-        kept = min((kept for kept in self.kept.values() if kept), key=lambda kept: kept[0].idle_since,
-                   default=None)
+        kept = min(
+            (kept for kept in self.kept.values() if kept), key=lambda kept: kept[0].idle_since, default=None
+        )
         if kept is None:
             return False
         self.close(kept.pop(0))
--- a/opalwick/transport/pulse.py
+++ b/opalwick/transport/pulse.py
@@ -4,6 +4,7 @@
 comes, and what is read afterwards is older than the reading. A beat that comes late tells that it was so; the
 kernel's own word (TCP_INFO), where there is one, tells how old the bytes of one connection are.
 """
+
 from __future__ import annotations
 
 import struct
@@ -32,14 +33,14 @@
 class Pulse:
     """A beat by the one timer of the process. Times are seconds on the process's clock."""
 
-    EVERY = 0.05    # as each time limit on sockets is stretched by as much, a shorter stall breaks none
-    LATE = 0.15     # a beat later than this stood still; a crowd or a full collection takes less
-    LONG = 0.5      # what was decided or told before it stood still for so long is of a time that is gone
-    NEAR = 0.02     # what may have lain for less is taken as fresh: the cost of asking is spared when busy
+    EVERY = 0.05  # as each time limit on sockets is stretched by as much, a shorter stall breaks none
+    LATE = 0.15  # a beat later than this stood still; a crowd or a full collection takes less
+    LONG = 0.5  # what was decided or told before it stood still for so long is of a time that is gone
+    NEAR = 0.02  # what may have lain for less is taken as fresh: the cost of asking is spared when busy
 
     def __init__(self, now: float) -> None:
         self.beat_at = now
-        self.still_from = self.still_to = -1e9      # the last time that it stood still
+        self.still_from = self.still_to = -1e9  # the last time that it stood still
 
     def late(self, now: float) -> bool:
         return now - self.beat_at > self.LATE
@@ -54,8 +55,12 @@
 
     def stood(self, since: float, now: float) -> bool:
         """Whether it stood still for long between those moments."""
-        return (self.still_to > since and self.still_to - self.still_from > self.LONG
-                or now - self.beat_at > self.LONG and self.beat_at + self.LONG > since)
+        return (
+            self.still_to > since
+            and self.still_to - self.still_from > self.LONG
+            or now - self.beat_at > self.LONG
+            and self.beat_at + self.LONG > since
+        )
 
     def at_worst(self, since: float, now: float) -> float:
         """When something that came after `since` came, where no kernel tells: the gap is the bound, but the
--- a/opalwick/transport/ring.py
+++ b/opalwick/transport/ring.py
@@ -1,4 +1,5 @@
 """A ring of bytes: one direction of one connection."""
+
 from __future__ import annotations
 
 
@@ -13,14 +14,14 @@
         if not self.size:
             self.start = 0
         end, room = self.start + self.size, len(self.view)
-        return self.view[end:] if end < room else self.view[end - room:self.start]
+        return self.view[end:] if end < room else self.view[end - room : self.start]
 
     def filled(self, count: int) -> None:
         self.size += count
 
     def held(self) -> memoryview:
         """The next stretch of bytes held; empty when none is."""
-        return self.view[self.start:min(self.start + self.size, len(self.view))]
+        return self.view[self.start : min(self.start + self.size, len(self.view))]
 
     def drop(self, count: int) -> None:
         self.start, self.size = (self.start + count) % len(self.view), self.size - count
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -1,4 +1,5 @@
 """Drives the module alone and prints its decisions as a short trace."""
+
 from __future__ import annotations
 
 import re
@@ -13,9 +14,31 @@
 from loguru import logger
 
 from opalwick.balance import Balancer
-from opalwick.interface import (Cancel, Category, Customer, Decision, Defer, Effect, Group, ListForm, Outcome,
-                                Phase, Probe, Report, Reports, Row, Send, Subscribe, Sum, Tell, Terms, Wake,
-                                Worker, WorkItem, WriteOff)
+from opalwick.interface import (
+    Cancel,
+    Category,
+    Customer,
+    Decision,
+    Defer,
+    Effect,
+    Group,
+    ListForm,
+    Outcome,
+    Phase,
+    Probe,
+    Report,
+    Reports,
+    Row,
+    Send,
+    Subscribe,
+    Sum,
+    Tell,
+    Terms,
+    Wake,
+    Worker,
+    WorkItem,
+    WriteOff,
+)
 from opalwick.protocol.clients import Call, Conversation
 from opalwick.protocol.figures import Counts
 from opalwick.protocol.settings import flat, read_names, read_terms
@@ -29,8 +52,19 @@
 
 
 def category(effect: Effect = Effect.RERUNNABLE, group: Group = Group.ALL, **changes: float) -> Category:
-    return replace(Category(credit=1.0, effect=effect, group=group, due=0.4, stretch=2.0, expiry=5.0,
-                            tardy_credit=0.0, window=2.0), **changes)
+    return replace(
+        Category(
+            credit=1.0,
+            effect=effect,
+            group=group,
+            due=0.4,
+            stretch=2.0,
+            expiry=5.0,
+            tardy_credit=0.0,
+            window=2.0,
+        ),
+        **changes,
+    )
 
 
 class Traced:
@@ -45,16 +79,43 @@
 class Bench(Traced):
     """One scheduler, its workers named by letters, and the trace of what it decides."""
 
-    def __init__(self, workers: str = "ABCD", kinds: list[Category] | None = None, seed: int = 7,
-                 **changes) -> None:
-        terms = Terms(categories=kinds or [category()], customers=[], zone=0, schedulers=1, hand_offs=4,
-                      may_copy=True, may_cancel=True, may_tell=False, retry_after=1.0, by_work=True,
-                      excess_credit=0.1, price_cross=0.0, price_tell=0.0, position=0, must_ask=False,
-                      ask_every=10.0, fall_multiple=3.0,
-                      fall_span=2.0, cold_share=0.25, ramp=10.0, tells_start=True, progress_every=1.0,
-                      tick=0.005, cpu=0.0, reports=Reports.ANSWERS, may_probe=False, sized=False,
-                      price_probe=0.0, price_fetch=0.0, marks_repeats=False, drains_alone=False,
-                      report=(Report.FREE_SLOTS,))
+    def __init__(
+        self, workers: str = "ABCD", kinds: list[Category] | None = None, seed: int = 7, **changes
+    ) -> None:
+        terms = Terms(
+            categories=kinds or [category()],
+            customers=[],
+            zone=0,
+            schedulers=1,
+            hand_offs=4,
+            may_copy=True,
+            may_cancel=True,
+            may_tell=False,
+            retry_after=1.0,
+            by_work=True,
+            excess_credit=0.1,
+            price_cross=0.0,
+            price_tell=0.0,
+            position=0,
+            must_ask=False,
+            ask_every=10.0,
+            fall_multiple=3.0,
+            fall_span=2.0,
+            cold_share=0.25,
+            ramp=10.0,
+            tells_start=True,
+            progress_every=1.0,
+            tick=0.005,
+            cpu=0.0,
+            reports=Reports.ANSWERS,
+            may_probe=False,
+            sized=False,
+            price_probe=0.0,
+            price_fetch=0.0,
+            marks_repeats=False,
+            drains_alone=False,
+            report=(Report.FREE_SLOTS,),
+        )
         self.terms = replace(terms, **changes)
         self.now, self.lines, self.items = START, [], {}
         self.balancer = Balancer(self.terms, seed, self.now)
@@ -63,26 +124,50 @@
         for w in self.workers.values():
             self.balancer.reported(w, (4.0,))
 
-    def list(self, form: ListForm, zones: str = "", cells: str = "", ready: dict[str, float] | None = None,
-             **phases: Phase) -> None:
+    def list(
+        self,
+        form: ListForm,
+        zones: str = "",
+        cells: str = "",
+        ready: dict[str, float] | None = None,
+        **phases: Phase,
+    ) -> None:
         rows = []
         for i, (name, phase) in enumerate(phases.items()):
             w = self.workers.setdefault(name, Worker(ord(name)))
-            rows.append((w, int(zones[i]) if zones else w.zone, 0, int(cells[i]) if cells else w.cell, phase,
-                         (ready or {}).get(name, w.ready_at), 1.0))
+            rows.append(
+                (
+                    w,
+                    int(zones[i]) if zones else w.zone,
+                    0,
+                    int(cells[i]) if cells else w.cell,
+                    phase,
+                    (ready or {}).get(name, w.ready_at),
+                    1.0,
+                )
+            )
         self.balancer.listed(form, rows)
 
-    def take(self, *names: str, category: int = 0, work: float = 0.2, expiry: float | None = None,
-             customer: Customer | None = None, **more) -> None:
+    def take(
+        self,
+        *names: str,
+        category: int = 0,
+        work: float = 0.2,
+        expiry: float | None = None,
+        customer: Customer | None = None,
+        **more,
+    ) -> None:
         c = self.terms.categories[category]
         for name in names:
-            wi = WorkItem(ord(name[0]), c, customer, self.now, self.now + (expiry or c.expiry), work,
-                          1.0, **more)
+            wi = WorkItem(
+                ord(name[0]), c, customer, self.now, self.now + (expiry or c.expiry), work, 1.0, **more
+            )
             self.items[name] = wi
             self.balancer.taken(wi)
 
-    def end(self, name: str, number: int = 0, outcome: Outcome = Outcome.FINISHED,
-            kept: bool = False) -> None:
+    def end(
+        self, name: str, number: int = 0, outcome: Outcome = Outcome.FINISHED, kept: bool = False
+    ) -> None:
         ho = self.items[name].hand_offs[number]
         done = self.items[name].answered or outcome is Outcome.FINISHED
         self.balancer.ended(ho, outcome, done, kept)
@@ -142,19 +227,51 @@
 # ---- the scheduler: settings in the operators' form, a reducer, and stand-ins on the other side of sockets
 
 SETTINGS = {
-    "az": 0, "categories": [
+    "az": 0,
+    "categories": [
         {"name": "look", "credit": 1.0, "effect": "repeatable", "due-time-us": 400000, "expiry-us": 5000000},
-        {"name": "pay", "credit": 3.0, "effect": "by_key", "group": "zone", "due-time-us": 400000,
-         "expiry-us": 5000000, "window-us": 9000000}],
-    "ceilings": {"conn-idle-us": 10000000, "connect-timeout-us": 250000, "max-hand-offs": 3,
-                 "may-cancel": True, "max-retry-after-us": 2000000, "parallel-tries": True,
-                 "peers": True, "retry-after": True},
-    "credit-basis": "work", "discovery": "ask", "localities": ["east", "west"], "skus": ["big", "small"],
-    "family-info": {"class-stretch": [2.0, 2.0], "progress-us": 1000000, "report-x0": "free slots",
-                    "tells-start": True},
-    "guarantees": {"ask-every-us": 10000000, "cold-share": 0.25, "fall-multiple": 3.0, "fall-us": 2000000,
-                   "ramp-time-us": 10000000},
-    "load-report": {"names": ["x0", "active"]}, "peers-total": 2, "position": 0, "prices": {"peer": 0.01}}
+        {
+            "name": "pay",
+            "credit": 3.0,
+            "effect": "by_key",
+            "group": "zone",
+            "due-time-us": 400000,
+            "expiry-us": 5000000,
+            "window-us": 9000000,
+        },
+    ],
+    "ceilings": {
+        "conn-idle-us": 10000000,
+        "connect-timeout-us": 250000,
+        "max-hand-offs": 3,
+        "may-cancel": True,
+        "max-retry-after-us": 2000000,
+        "parallel-tries": True,
+        "peers": True,
+        "retry-after": True,
+    },
+    "credit-basis": "work",
+    "discovery": "ask",
+    "localities": ["east", "west"],
+    "skus": ["big", "small"],
+    "family-info": {
+        "class-stretch": [2.0, 2.0],
+        "progress-us": 1000000,
+        "report-x0": "free slots",
+        "tells-start": True,
+    },
+    "guarantees": {
+        "ask-every-us": 10000000,
+        "cold-share": 0.25,
+        "fall-multiple": 3.0,
+        "fall-us": 2000000,
+        "ramp-time-us": 10000000,
+    },
+    "load-report": {"names": ["x0", "active"]},
+    "peers-total": 2,
+    "position": 0,
+    "prices": {"peer": 0.01},
+}
 
 
 def settings(**changes) -> dict[str, str]:
@@ -184,8 +301,10 @@
     def put(self, kind: str, *fields, note: str = "") -> list:
         effects = list(self.reducer.reduce(self.now, kind, *fields))
         said = [self.word(effect) for effect in effects if type(effect).__name__ != "Timer"]
-        self.lines.append(f"{self.now - START:5.2f}  {note or ' '.join([kind, *map(str, fields)])}: "
-                          f"{', '.join(said) or 'nothing'}")
+        self.lines.append(
+            f"{self.now - START:5.2f}  {note or ' '.join([kind, *map(str, fields)])}: "
+            f"{', '.join(said) or 'nothing'}"
+        )
         return effects
 
     @staticmethod
@@ -224,12 +343,24 @@
     def holds(self, id: bytes) -> bool:
         return any(call.id == id and call.reply is None for call in self.calls)
 
-    def take(self, call: Call, category: Category, customer: object, now: float,
-             expiry_at: float, hint: float, slots: float, subject: int, repeat: bool) -> None:
+    def take(
+        self,
+        call: Call,
+        category: Category,
+        customer: object,
+        now: float,
+        expiry_at: float,
+        hint: float,
+        slots: float,
+        subject: int,
+        repeat: bool,
+    ) -> None:
         self.calls.append(call)
         self.subjects.append((subject, repeat))
-        self.lines.append(f"taken {call.message.target.decode()}: {expiry_at - call.message.first_at:.3f} s, "
-                          f"hint {hint:g}, slots {slots:g}, {len(call.message.body)} bytes")
+        self.lines.append(
+            f"taken {call.message.target.decode()}: {expiry_at - call.message.first_at:.3f} s, "
+            f"hint {hint:g}, slots {slots:g}, {len(call.message.body)} bytes"
+        )
 
     def left(self, call: Call) -> None:
         self.lines.append(f"left {call.message.target.decode()}")
@@ -255,20 +386,36 @@
 
 
 def post(target: str = "/look/7", body: bytes = b"x", *fields: str, **named: str) -> bytes:
-    headers = {"X-Correlation-Id": "c1", "X-Service-Class": target.split("/")[1], "X-Time-Left-Ms": "480",
-               "Idempotency-Key": "k" if target.startswith("/pay") else "", "Content-Length": str(len(body))}
+    headers = {
+        "X-Correlation-Id": "c1",
+        "X-Service-Class": target.split("/")[1],
+        "X-Time-Left-Ms": "480",
+        "Idempotency-Key": "k" if target.startswith("/pay") else "",
+        "Content-Length": str(len(body)),
+    }
     headers |= {name.replace("_", "-"): text for name, text in named.items()}
-    return "\r\n".join([f"POST {target} HTTP/1.1", "Host: app.svc",
-                        *(f"{name}: {text}" for name, text in headers.items() if text), *fields, "", ""]
-                       ).encode() + body
+    return (
+        "\r\n".join(
+            [
+                f"POST {target} HTTP/1.1",
+                "Host: app.svc",
+                *(f"{name}: {text}" for name, text in headers.items() if text),
+                *fields,
+                "",
+                "",
+            ]
+        ).encode()
+        + body
+    )
 
 
 @contextmanager
 def logged(function: str) -> Iterator[list[str]]:
     """What that function logs meanwhile."""
     said: list[str] = []
-    number = logger.add(lambda line: said.append(line.record["message"]),
-                        filter=lambda record: record["function"] == function)   # not of an earlier test's
+    number = logger.add(
+        lambda line: said.append(line.record["message"]), filter=lambda record: record["function"] == function
+    )  # not of an earlier test's
     yield said
     logger.remove(number)
 
@@ -301,7 +448,7 @@
     """
 
     def __init__(self, *script: bytes | None, last: bool = False) -> None:
-        self.last = last                        # it closes after each piece
+        self.last = last  # it closes after each piece
         self.script, self.heard, self.connections = list(script), [], 0
         self.listener = door()
         self.place = self.listener.getsockname()
@@ -331,4 +478,5 @@
 def chunked(*lines: str, status: str = "200 OK", last: bool = True) -> bytes:
     told = "".join(f"{len(line) + 1:x}\r\n{line}\n\r\n" for line in lines)
     return f"HTTP/1.1 {status}\r\nTransfer-Encoding: chunked\r\n\r\n{told}{'0' if last else ''}".encode() + (
-        b"\r\n\r\n" if last else b"")
+        b"\r\n\r\n" if last else b""
+    )
--- a/tests/post_helper.py
+++ b/tests/post_helper.py
@@ -3,6 +3,7 @@
 Words stand as `kind field=value ...`: a bare name is true, commas part lists, parentheses hold a word.
 Messages stand as `mid field=value ...`, kept at d1 and d2 for 90 s if nothing else is said.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -31,7 +32,7 @@
         known, field = getattr(to, name), to.DESCRIPTOR.fields_by_name[name]
         if value.startswith("("):
             fill(known.add() if hasattr(known, "add") else known, value[1:-1])
-        elif hasattr(known, "items"):           # a map of spans
+        elif hasattr(known, "items"):  # a map of spans
             known.update({key: float(x) for key, x in (item.split(":") for item in value.split(","))})
         elif hasattr(known, "extend"):
             known.extend(v if field.cpp_type == field.CPPTYPE_STRING else int(v) for v in value.split(","))
@@ -42,8 +43,15 @@
 
 def show(said: Any) -> str:
     def one(x: Any) -> str:
-        return (f"({show(x)})" if hasattr(x, "ListFields") else f"{round(x, 3):g}" if type(x) is float
-                else x.decode() if type(x) is bytes else str(x))
+        return (
+            f"({show(x)})"
+            if hasattr(x, "ListFields")
+            else f"{round(x, 3):g}"
+            if type(x) is float
+            else x.decode()
+            if type(x) is bytes
+            else str(x)
+        )
 
     parts = []
     for field, value in said.ListFields():
@@ -59,6 +67,7 @@
 
 class Player:
     """`do_WHAT(who, rest)` takes an input in, or else `hear(who, kind, word)`; `step()` lets time pass."""
+
     STEP = 0.05
 
     def __init__(self) -> None:
@@ -97,8 +106,11 @@
 
     def got(self, kind: str, mid: str = "") -> list[tuple[float, str]]:
         """When a word of this kind was said, and to whom."""
-        return [(round(at, 2), node) for at, node, what, w in self.said
-                if what == kind and mid in ("", (w.letter if kind == "assign" else w).mid)]
+        return [
+            (round(at, 2), node)
+            for at, node, what, w in self.said
+            if what == kind and mid in ("", (w.letter if kind == "assign" else w).mid)
+        ]
 
     def until(self, when: float) -> None:
         while self.now < when - 1e-9:
@@ -126,7 +138,7 @@
         heapq.heappush(self.turns, (when, self.serial, do, told))
 
     def draw(self, span: tuple[float, float]) -> float:
-        return span[0] + (span[1] - span[0]) * self.random.random() ** 3    # mostly short
+        return span[0] + (span[1] - span[0]) * self.random.random() ** 3  # mostly short
 
     def carry(self, a: str, b: str, do: Callable[..., None], *told: Any) -> None:
         if frozenset((a, b)) not in self.cuts and self.random.random() >= self.lost:
@@ -146,7 +158,7 @@
         self.now = when
 
 
-HEARS = {"beat": "beats", "installed": "installs", "resign": "resigned"}   # by word: how the views take it
+HEARS = {"beat": "beats", "installed": "installs", "resign": "resigned"}  # by word: how the views take it
 
 
 class Offices(Net, Player):
@@ -158,8 +170,15 @@
     when its call began, one is primary in an epoch, and who lost its disk votes for nobody before it learned.
     """
 
-    def __init__(self, seed: int = 0, late: tuple[float, float] = (0.001, 0.002), lost: float = 0.0,
-                 sync: tuple[float, float] = (0.002, 0.003), count: int = 3, copies: int = 2) -> None:
+    def __init__(
+        self,
+        seed: int = 0,
+        late: tuple[float, float] = (0.001, 0.002),
+        lost: float = 0.0,
+        sync: tuple[float, float] = (0.002, 0.003),
+        count: int = 3,
+        copies: int = 2,
+    ) -> None:
         Player.__init__(self)
         Net.__init__(self, seed, late, lost)
         self.names, self.sync, self.copies = [f"o{n + 1}" for n in range(count)], sync, copies
@@ -168,9 +187,9 @@
         self.disks: dict[str, Stored | None] = dict.fromkeys(self.names)
         self.lives, self.busy = dict.fromkeys(self.names, 0), dict.fromkeys(self.names, False)
         self.saves = dict[str, list[Any]]()
-        self.told = dict[str, Conf]()           # what an office last had committed
-        self.asked = list[tuple[str, int, int, bytes]]()    # by call: what, number, in force then, content
-        self.confirmed = dict[int, bytes]()     # by number: the one content that was answered 200
+        self.told = dict[str, Conf]()  # what an office last had committed
+        self.asked = list[tuple[str, int, int, bytes]]()  # by call: what, number, in force then, content
+        self.confirmed = dict[int, bytes]()  # by number: the one content that was answered 200
         self.answers: list[tuple[str, str, int, int]] = []
         self.contents, self.newest, self.epochs = dict[int, bytes](), -1, dict[int, str]()
         for name in self.names:
@@ -262,7 +281,8 @@
             assert self.contents.get(gen, b"") != content, f"{gen} {content!r} is refused again at {me}"
         elif what == "put" and status == 200 and gen in self.contents:
             assert self.contents[gen] == self.confirmed.setdefault(gen, content) == content, (
-                f"{gen} is confirmed with two contents")
+                f"{gen} is confirmed with two contents"
+            )
         if status == 200:
             assert has >= max(gen, floor), f"{what} {gen} at {me}: {has}, though {floor} was in force"
             self.newest = max(self.newest, has)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -1,4 +1,5 @@
 """The clients' side of the sockets."""
+
 from __future__ import annotations
 
 import gevent
@@ -38,7 +39,7 @@
         for call in client.calls:
             call.answer(200)
         gevent.sleep(0.01)
-    assert taken <= 3       # two, and what came in the same piece
+    assert taken <= 3  # two, and what came in the same piece
 
 
 def test_a_client_that_closes_has_left() -> None:
@@ -59,8 +60,9 @@
     "time_nan": [post(X_Time_Left_Ms="nan")],
     "hint": [post(X_Weight_Hint="-1")],
     "long_body": [post(body=b"x" * 70000)],
-    "long_chunk": [post("/look/7", b"", Content_Length="", Transfer_Encoding="chunked")
-                   + b"11170\r\n" + b"x" * 70000],
+    "long_chunk": [
+        post("/look/7", b"", Content_Length="", Transfer_Encoding="chunked") + b"11170\r\n" + b"x" * 70000
+    ],
     "long_target": [post("/look/" + "7" * 9000)],
     "long_field": [post(X_Facts="x" * 20000)],
     "endless_field": [b"POST /look/7 HTTP/1.1\r\nX-Facts: ", *[b"x" * 8000] * 4],
@@ -68,8 +70,10 @@
     "two_lengths": [post("/look/7", b"x", "Transfer-Encoding: chunked")],
     "lengths_twice": [post("/look/7", b"x", "Content-Length: 1")],
     "coding": [post("/look/7", b"", "Transfer-Encoding: gzip, chunked", Content_Length="") + b"0\r\n\r\n"],
-    "late_id": [post("/look/7", b"", "Transfer-Encoding: chunked", Content_Length="", X_Correlation_Id="")
-                + b"0\r\nX-Correlation-Id: c1\r\n\r\n"],
+    "late_id": [
+        post("/look/7", b"", "Transfer-Encoding: chunked", Content_Length="", X_Correlation_Id="")
+        + b"0\r\nX-Correlation-Id: c1\r\n\r\n"
+    ],
     "two_ids": [post("/look/7", b"x", "X-Correlation-Id: c2")],
     "odd_id": [post(X_Correlation_Id="c\xe9")],
     "other_class": [post("/look/7", X_Service_Class="pay")],
@@ -99,6 +103,7 @@
 
 def test_an_answer_reaches_a_client_that_is_still_sending() -> None:
     """Closing on what still comes would reset the connection and take the answer along; but not for ever."""
+
     def sent(**changes) -> int:
         client = Client(linger=0.1, **changes)
         client.say(post(body=b"", Content_Length="60000000"))
@@ -107,16 +112,18 @@
             for count in range(1, 9):
                 client.say(b"x" * 60000)
                 gevent.sleep(0.03)
-        except OSError:                         # reset
+        except OSError:  # reset
             count -= 1
         else:
             client.sock.shutdown(gevent.socket.SHUT_WR)
             client.hear()
             assert client.lines[-1] == (
-                "hear HTTP/1.1 413 Content Too Large | Connection: close |  | body too large")
+                "hear HTTP/1.1 413 Content Too Large | Connection: close |  | body too large"
+            )
         client.running.join(1.0)
         assert client.running.successful()
         return count
+
     assert sent() == 8
     assert 3 <= sent(dropped=200000) < 8 and sent(leaving=0.15) < 8
 
@@ -181,15 +188,17 @@
 
 def test_blanks_round_a_value_are_no_part_of_it_however_the_request_is_cut() -> None:
     """Values that came in pieces kept them: a third of such requests got a 4xx."""
-    head = (b"POST /look/7 HTTP/1.1\r\nHost: app.svc \r\nX-Correlation-Id: \t c1 \r\n"
-            b"X-Service-Class: look \r\nX-Time-Left-Ms: 480 \t\r\nX-Weight-Hint: 1000 \r\n"
-            b"Transfer-Encoding: chunked \r\n\r\n1\r\nx\r\n0\r\n\r\n")
+    head = (
+        b"POST /look/7 HTTP/1.1\r\nHost: app.svc \r\nX-Correlation-Id: \t c1 \r\n"
+        b"X-Service-Class: look \r\nX-Time-Left-Ms: 480 \t\r\nX-Weight-Hint: 1000 \r\n"
+        b"Transfer-Encoding: chunked \r\n\r\n1\r\nx\r\n0\r\n\r\n"
+    )
     seen = []
     for cut in (1, 7, 40, len(head)):
         client = Client()
         client.conversation.feed(memoryview(b""))
         for at in range(0, len(head), cut):
-            client.conversation.feed(memoryview(head[at:at + cut]))
+            client.conversation.feed(memoryview(head[at : at + cut]))
         seen.append((client.lines, client.calls[0].id, client.conversation.last))
         client.running.kill()
     assert seen == [(["taken /look/7: 0.480 s, hint 0.001, slots 1, 1 bytes"], b"c1", False)] * 4
@@ -197,8 +206,12 @@
 
 def test_the_last_part_of_a_path_of_several_is_the_subject_and_repeats_are_marked() -> None:
     client = Client()
-    client.say(post("/look/1") + post("/look/1", X_Correlation_Id="c2", X_Repeat="1")
-               + post("/look", X_Correlation_Id="c3") + post("/look/2", X_Correlation_Id="c4", X_Repeat="0"))
+    client.say(
+        post("/look/1")
+        + post("/look/1", X_Correlation_Id="c2", X_Repeat="1")
+        + post("/look", X_Correlation_Id="c3")
+        + post("/look/2", X_Correlation_Id="c4", X_Repeat="0")
+    )
     (first, marked), (again, repeat), none, (other, _) = client.subjects
     assert first == again and first and other not in (0, first) and (marked, repeat) == (False, True)
     assert none == (0, False)
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -1,4 +1,5 @@
 """The design's ordinary path: blocks, the cyclic-row copy, its caps, the cancels."""
+
 from __future__ import annotations
 
 from helper import Bench
@@ -114,8 +115,10 @@
     bench.balancer.firsts = 100
     bench.take("x", "y", "z", work=0.5)
     bench.pull("three taken, two workers")
-    bench.lines.append("blocks: " + " ".join(
-        "".join(sorted(chr(wi.id) for wi in bench.items[name].block.items)) for name in "xyz"))
+    bench.lines.append(
+        "blocks: "
+        + " ".join("".join(sorted(chr(wi.id) for wi in bench.items[name].block.items)) for name in "xyz")
+    )
     bench.matches("blocks")
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,4 +1,5 @@
 """The watch on the list of workers, against a stand-in."""
+
 from __future__ import annotations
 
 import json
@@ -11,8 +12,16 @@
 
 
 def entry(name: str, **changes) -> dict:
-    return {"host": name, "dial": "127.0.0.2:5000", "site": "west", "class": "small", "block": 3,
-            "health": "ready", "share": 1.0, "born_ms": 0} | changes
+    return {
+        "host": name,
+        "dial": "127.0.0.2:5000",
+        "site": "west",
+        "class": "small",
+        "block": 3,
+        "health": "ready",
+        "share": 1.0,
+        "born_ms": 0,
+    } | changes
 
 
 def told(seq: int, *hosts: dict, whole: bool = False, status: int = 200) -> bytes:
@@ -25,9 +34,18 @@
     terms = read_terms(settings())
 
     def listed(form, rows) -> None:
-        lines.append(" ".join([form.name, *(f"{name}: zone {zone}, kind {kind}, cell {cell}, {phase.name}"
-                                            f"{f', since {since:g}' if since > 0 else ''} at {place[1]}"
-                                            for name, _, zone, kind, cell, phase, since, place, _ in rows)]))
+        lines.append(
+            " ".join(
+                [
+                    form.name,
+                    *(
+                        f"{name}: zone {zone}, kind {kind}, cell {cell}, {phase.name}"
+                        f"{f', since {since:g}' if since > 0 else ''} at {place[1]}"
+                        for name, _, zone, kind, cell, phase, since, place, _ in rows
+                    ),
+                ]
+            )
+        )
 
     discovery = Discovery(stand.place, 41, read_names(settings(), terms), 1e6, limits(**changes), listed)
     running = gevent.spawn(discovery.watch)
@@ -37,7 +55,7 @@
 
 
 def test_an_odd_size_costs_nobody_the_worker() -> None:
-    odd = ["much", None, float("nan"), float("inf"), -1, 0, 10 ** 400, True, 4.5]
+    odd = ["much", None, float("nan"), float("inf"), -1, 0, 10**400, True, 4.5]
     hosts = [entry(f"w{i}", share=share) for i, share in enumerate(odd)]
     terms = read_terms(settings())
     _, _, found = rows({"seq": 1, "whole": True, "hosts": hosts}, read_names(settings(), terms), 0.0)
@@ -45,27 +63,50 @@
 
 
 def test_a_watch_goes_on_until_a_call_fails() -> None:
-    assert watched(told(41), told(42, entry("a", born_ms=1000005000), whole=True), told(42),
-                   told(43, entry("a", health="gone"), entry("b", health="draining", dial="127.0.0.3:5001")),
-                   told(0, status=503)) == [
-        "CHANGES", "FULL a: zone 1, kind 1, cell 3, READY, since 5 at 5000",
+    assert watched(
+        told(41),
+        told(42, entry("a", born_ms=1000005000), whole=True),
+        told(42),
+        told(43, entry("a", health="gone"), entry("b", health="draining", dial="127.0.0.3:5001")),
+        told(0, status=503),
+    ) == [
+        "CHANGES",
+        "FULL a: zone 1, kind 1, cell 3, READY, since 5 at 5000",
         "CHANGES a: zone 1, kind 1, cell 3, GONE at 5000 b: zone 1, kind 1, cell 3, DRAINING at 5001",
-        "FAILED", "GET /api/targets?since=41&timeout_ms=1", "GET /api/targets?since=41&timeout_ms=20000",
-        "GET /api/targets?since=42&timeout_ms=20000", "GET /api/targets?since=42&timeout_ms=20000",
-        "GET /api/targets?since=43&timeout_ms=20000", "1 connections"]
+        "FAILED",
+        "GET /api/targets?since=41&timeout_ms=1",
+        "GET /api/targets?since=41&timeout_ms=20000",
+        "GET /api/targets?since=42&timeout_ms=20000",
+        "GET /api/targets?since=42&timeout_ms=20000",
+        "GET /api/targets?since=43&timeout_ms=20000",
+        "1 connections",
+    ]
 
 
 def test_odd_entries_cost_nobody_else() -> None:
-    assert watched(told(42, entry("a", dial="nowhere"), {"host": "b"}, entry("c", health="odd"), entry("d"),
-                        entry("e", block=None), entry("f", site=["x"]),
-                        entry("g", block=float("inf"))))[0] == (
-        "CHANGES d: zone 1, kind 1, cell 3, READY at 5000")
+    assert watched(
+        told(
+            42,
+            entry("a", dial="nowhere"),
+            {"host": "b"},
+            entry("c", health="odd"),
+            entry("d"),
+            entry("e", block=None),
+            entry("f", site=["x"]),
+            entry("g", block=float("inf")),
+        )
+    )[0] == ("CHANGES d: zone 1, kind 1, cell 3, READY at 5000")
 
 
 def test_what_is_no_list_fails_the_watch() -> None:
-    for odd in (b"HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\n[]", b"220 ready\r\n",
-                b"HTTP/1.1 200 x\r\nContent-Length: 1\r\n\r\n{", told(float("inf")), told("x"),
-                told(1).replace(b"[]", b" 7")):
+    for odd in (
+        b"HTTP/1.1 200 x\r\nContent-Length: 2\r\n\r\n[]",
+        b"220 ready\r\n",
+        b"HTTP/1.1 200 x\r\nContent-Length: 1\r\n\r\n{",
+        told(float("inf")),
+        told("x"),
+        told(1).replace(b"[]", b" 7"),
+    ):
         assert watched(odd)[0] == "FAILED"
 
 
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -1,4 +1,5 @@
 """Where only a listed drain binds: what is called gone, or left out, may still be sent to."""
+
 from __future__ import annotations
 
 from helper import Bench
@@ -30,7 +31,7 @@
         bench = worker_with_work()
         beside(bench, A=phase)
         assert not bench.workers["A"].open
-        bench.begin("a")                        # what was on its way begins, and goes on undisturbed
+        bench.begin("a")  # what was on its way begins, and goes on undisturbed
         assert taken(bench, "b") is ready and not bench.items["a"].hand_offs[0].cancelled
 
 
@@ -49,14 +50,14 @@
     beside(bench, A=Phase.GONE)
     beside(bench, A=Phase.READY)
     assert taken(bench, "b")
-    beside(bench, ListForm.FULL)                # missing
+    beside(bench, ListForm.FULL)  # missing
     bench.begin("a")
     assert taken(bench, "c")
     beside(bench, A=Phase.DRAINING)
     assert not taken(bench, "d")
     bench.list(ListForm.CHANGES, A=Phase.READY, ready={"A": bench.now - 60.0})
     assert taken(bench, "e")
-    beside(bench, ListForm.CACHED, A=Phase.DRAINING)   # a list from before the restart: it binds all the same
+    beside(bench, ListForm.CACHED, A=Phase.DRAINING)  # a list from before the restart: it binds all the same
     bench.begin("e")
     assert not taken(bench, "f")
 
--- a/tests/test_fleet_members.py
+++ b/tests/test_fleet_members.py
@@ -73,12 +73,12 @@
     for word in (Word(What.PING, 299, 7, 1, 65535, 0, news), Word(What.DIGEST, 1, 2, 3, digest=range(16))):
         octets = packed(word)
         assert len(octets) <= 256 and unpacked(octets) == word._replace(digest=tuple(word.digest))
-        for at in range(len(octets)):           # one octet changed on the way
-            assert unpacked(octets[:at] + bytes([octets[at] ^ 4]) + octets[at + 1:]) is None
+        for at in range(len(octets)):  # one octet changed on the way
+            assert unpacked(octets[:at] + bytes([octets[at] ^ 4]) + octets[at + 1 :]) is None
         assert all(unpacked(octets[:at]) is None for at in range(len(octets)))
     member = Members(0, 3, 1, 0.0, Terms(), 1)
     member.heard(1, b"\2nonsense")
-    member.heard(2, packed(Word(What.PING, 1, 1, 0)))   # from another's address
+    member.heard(2, packed(Word(What.PING, 1, 1, 0)))  # from another's address
     assert member.counts["odd"] == 2 and not any(isinstance(d, Event) for d in member.decisions())
 
 
@@ -101,7 +101,7 @@
 def test_one_that_starts_behind_the_life_that_is_known_takes_the_next() -> None:
     net = Net(3)
     net.run(1.0)
-    net.members[2] = Members(2, 3, 0, net.now, Terms(), 9)     # its clock went back
+    net.members[2] = Members(2, 3, 0, net.now, Terms(), 9)  # its clock went back
     net.run(2.5)
     assert net.members[2].life == 2 and net.members[0].peers[2].life == 2
 
@@ -200,8 +200,12 @@
         super()._due_tick(whom)
 
 
-MUTANTS = {Hasty: ("deaf", "false"), NeverRefutes: ("stop 10", "agree"),
-           OneLife: ("killed and back at once", "agree"), NeverCompares: ("halves", "agree")}
+MUTANTS = {
+    Hasty: ("deaf", "false"),
+    NeverRefutes: ("stop 10", "agree"),
+    OneLife: ("killed and back at once", "agree"),
+    NeverCompares: ("halves", "agree"),
+}
 
 
 @pytest.mark.parametrize("made", MUTANTS, ids=lambda made: made.__name__)
@@ -223,9 +227,11 @@
 
 
 def test_processes_with_the_part_on_through_a_stop_a_kill_and_a_split(tmp_path: Path) -> None:
-    three = ('kind = "stop", lasts = "1500 ms", of = ["s1"] }, '
-             '{ kind = "lost", at = "10 s", lasts = "5 s", of = ["s0"] }, '
-             '{ kind = "sides", at = "20 s", lasts = "5 s", size = 2.0')
+    three = (
+        'kind = "stop", lasts = "1500 ms", of = ["s1"] }, '
+        '{ kind = "lost", at = "10 s", lasts = "5 s", of = ["s0"] }, '
+        '{ kind = "sides", at = "20 s", lasts = "5 s", size = 2.0'
+    )
     day = fleet(three, 5, 32)
     history = play_sockets(day, 3, tmp_path)
     report = judge({**history, "rows": []})
@@ -247,8 +253,11 @@
 
     with pytest.raises(BadConfiguration, match=WRONG[said]):
         configuration(tmp_path, fleet=json.loads(said))
-    for changes, why in (({"peers": []}, "needs peers"), ({"peer_listen": None}, "needs peer_listen"),
-                         ({"peers": ["127.0.0.1:1"], "settings.position": 1}, "no address of its own")):
+    for changes, why in (
+        ({"peers": []}, "needs peers"),
+        ({"peer_listen": None}, "needs peer_listen"),
+        ({"peers": ["127.0.0.1:1"], "settings.position": 1}, "no address of its own"),
+    ):
         position = changes.pop("settings.position", None)
         if position is not None:
             from helper import SETTINGS
@@ -269,8 +278,10 @@
     assert b"svc.fleet_probes:" in served.scheduler.figures()
     served.stop()
     assert CliRunner().invoke(app, ["fleet", "members", "nowhere"]).exit_code == 2
-    code = ("import sys; import opalwick.program.scheduler; "
-            "print([m for m in sys.modules if m.startswith('opalwick.fleet')])")
+    code = (
+        "import sys; import opalwick.program.scheduler; "
+        "print([m for m in sys.modules if m.startswith('opalwick.fleet')])"
+    )
     env = os.environ | {"PYTHONPATH": str(Path(__file__).parents[1])}
     done = subprocess.run([sys.executable, "-c", code], env=env, capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,4 +1,5 @@
 """A new version under load: two processes that are one scheduler, in one loop, by stand-ins and for real."""
+
 from __future__ import annotations
 
 import json
@@ -38,8 +39,12 @@
     def __init__(self, tmp_path, *script: bytes | None, **changes) -> None:
         self.door, self.started = door(), []
         self.worker, self.discovery = Stand(*script), Stand(*[told(41), None] * 4)
-        configuration(tmp_path, self.worker, self.discovery, **{
-            "listen": "%s:%d" % self.door.getsockname(), "operator": "127.0.0.1:0"} | changes)
+        configuration(
+            tmp_path,
+            self.worker,
+            self.discovery,
+            **{"listen": "%s:%d" % self.door.getsockname(), "operator": "127.0.0.1:0"} | changes,
+        )
         self.environment = {"BALANCER_CONFIG": str(tmp_path / "configuration.json"), "TMPDIR": str(tmp_path)}
         self.launch()
 
@@ -71,8 +76,14 @@
 def test_the_new_one_knows_what_the_old_one_knew(tmp_path) -> None:
     pair = Pair(tmp_path, None, DONE)
     old = pair.scheduler
-    old.put("listed", ListForm.CHANGES, [Desk.row("b", Phase.DRAINING, ("h", 1)),
-                                         Desk.row("c")[:6] + (time.monotonic() - 5.0, ("h", 2), 1.0)])
+    old.put(
+        "listed",
+        ListForm.CHANGES,
+        [
+            Desk.row("b", Phase.DRAINING, ("h", 1)),
+            Desk.row("c")[:6] + (time.monotonic() - 5.0, ("h", 2), 1.0),
+        ],
+    )
     pair.call("PUT /workers/disable?who=c")
     old.reducer.workers["c"].sends = [(time.monotonic(), 0.5)]
     old.reducer.workers["a"].ran, old.reducer.workers["a"].doubt = 3.5, 2
@@ -81,9 +92,13 @@
     new = pair.follow()
     there, here = old.reducer, new.reducer
     assert {name: (w.phase, w.out, w.ready_at) for name, w in here.workers.items()} == {
-        name: (w.phase, w.out, pytest.approx(w.ready_at, abs=0.002)) for name, w in there.workers.items()}
+        name: (w.phase, w.out, pytest.approx(w.ready_at, abs=0.002)) for name, w in there.workers.items()
+    }
     assert (here.workers["c"].sends, here.workers["a"].ran, here.workers["a"].doubt) == (
-        there.workers["c"].sends, 3.5, 2)
+        there.workers["c"].sends,
+        3.5,
+        2,
+    )
     assert 16.0 < here.balancer.rate < 18.0
     # one scheduler: what is open in one is open
     assert (new.holds(b"c1"), new.holds(b"c2"), new.lent > 0) == (True, False, True)
@@ -98,12 +113,12 @@
     assert there.out() == here.out() == ["a"]
     assert not pair.old_running.ready()
     waits.close()
-    pair.old_running.join(3.0)                  # it ends by itself once it has finished
+    pair.old_running.join(3.0)  # it ends by itself once it has finished
     assert pair.old_running.successful()
     gevent.sleep(0.05)
     assert (new.other_ids, new.lent, new.pool.most) == (set(), 0, new.limits.workers)
     assert here.workers["a"].busy_beside == 0.0
-    third = pair.follow()                       # the next finds it at the same place
+    third = pair.follow()  # the next finds it at the same place
     assert (third.state, third.reducer.out()) == (State.SERVING, ["a"])
     pair.end()
 
@@ -114,15 +129,27 @@
     trace = [first(kept), first(idle)]
     pair.follow()
     kept.sendall(post())
-    trace += [first(kept), kept.recv(9).decode(),
-              first(pair.ask(post(X_Correlation_Id="c2"))), first(pair.ask(READY))]
+    trace += [
+        first(kept),
+        kept.recv(9).decode(),
+        first(pair.ask(post(X_Correlation_Id="c2"))),
+        first(pair.ask(READY)),
+    ]
     gevent.sleep(pair.old.limits.ask + 0.1)
     trace.append(idle.recv(9).decode())
-    pair.old_running.join(2.0)                  # it stays a while, should the new one fail
+    pair.old_running.join(2.0)  # it stays a while, should the new one fail
     trace.append(str(pair.old_running.successful()))
     served = "HTTP/1.1 200 OK | 7"
-    assert trace == [served, served, "HTTP/1.1 200 OK | Connection: close | 7", "", served, "HTTP/1.1 200 OK",
-                     "", "True"]
+    assert trace == [
+        served,
+        served,
+        "HTTP/1.1 200 OK | Connection: close | 7",
+        "",
+        served,
+        "HTTP/1.1 200 OK",
+        "",
+        "True",
+    ]
     pair.end()
 
 
@@ -134,8 +161,16 @@
     trace += [pair.call("PUT /undrain")]
     gevent.sleep(0.05)
     trace += [pair.old.state, new.state, first(pair.ask(READY))]
-    assert trace == ["503 no", NO, State.DRAINING, State.DRAINING, "200 yes", State.LEAVING, State.SERVING,
-                     "HTTP/1.1 200 OK"]
+    assert trace == [
+        "503 no",
+        NO,
+        State.DRAINING,
+        State.DRAINING,
+        "200 yes",
+        State.LEAVING,
+        State.SERVING,
+        "HTTP/1.1 200 OK",
+    ]
     pair.end()
 
 
@@ -146,7 +181,7 @@
     never.sendall(packed("hello"))
     never.recv(1)
     trace += [first(pair.ask(post())), pair.call("GET /ready")]
-    half = pair.meet()                          # in place of the first: says that it serves, and is gone
+    half = pair.meet()  # in place of the first: says that it serves, and is gone
     half.sendall(packed("hello") + packed("serving"))
     gevent.sleep(0.05)
     trace += [pair.call("GET /ready"), str(pair.scheduler.accepting.dead)]
@@ -158,8 +193,16 @@
     pair.end()
 
 
-@pytest.mark.parametrize("odd", [b"\xff" * 64, struct.pack("!I", LONGEST + 1), struct.pack("!I", 4) + b"null",
-                                 packed("hello").replace(b'"v":1', b'"v":2'), b""])
+@pytest.mark.parametrize(
+    "odd",
+    [
+        b"\xff" * 64,
+        struct.pack("!I", LONGEST + 1),
+        struct.pack("!I", 4) + b"null",
+        packed("hello").replace(b'"v":1', b'"v":2'),
+        b"",
+    ],
+)
 def test_what_is_none_of_ours_is_not_spoken_with(tmp_path, odd) -> None:
     pair = Pair(tmp_path, DONE)
     sock = pair.meet()
@@ -194,14 +237,32 @@
 STATE = packed("state", list={"seq": 7, "whole": True, "hosts": [entry("z")]}, out=["z"], ids=["q"])
 
 
-@pytest.mark.parametrize("said, workers, out", [
-    ((b"+", STATE[:-20]), ["a"], []),                                   # killed in the middle
-    ((b"+",), ["a"], []), ((), ["a"], []),
-    ((b"-", STATE), ["a"], []), ((b"+", STATE.replace(b'"v":1', b'"v":9')), ["a"], []),
-    ((b"+", STATE), ["z"], ["z"]),
-    ((b"+", packed("state", list=[], out=7, ids={}, learned=[1], draining="x")), ["a"], []),
-    ((b"+", packed("state", list=None, out=["a", 5, "", "x" * 999], ids=[1, "c1"],
-                   learned={"all": "x", "kinds": 3, "workers": {"a": [[1], 2]}})), ["a"], ["a"])])
+@pytest.mark.parametrize(
+    "said, workers, out",
+    [
+        ((b"+", STATE[:-20]), ["a"], []),  # killed in the middle
+        ((b"+",), ["a"], []),
+        ((), ["a"], []),
+        ((b"-", STATE), ["a"], []),
+        ((b"+", STATE.replace(b'"v":1', b'"v":9')), ["a"], []),
+        ((b"+", STATE), ["z"], ["z"]),
+        ((b"+", packed("state", list=[], out=7, ids={}, learned=[1], draining="x")), ["a"], []),
+        (
+            (
+                b"+",
+                packed(
+                    "state",
+                    list=None,
+                    out=["a", 5, "", "x" * 999],
+                    ids=[1, "c1"],
+                    learned={"all": "x", "kinds": 3, "workers": {"a": [[1], 2]}},
+                ),
+            ),
+            ["a"],
+            ["a"],
+        ),
+    ],
+)
 def test_a_new_one_is_whole_whatever_the_old_one_says(tmp_path, said, workers, out) -> None:
     _stand_in_for_the_old_one(_path(tmp_path), *said)
     pair = Pair(tmp_path, DONE, listen="127.0.0.1:1")
@@ -246,9 +307,17 @@
     here.put("taught", said)
     assert json.loads(json.dumps(here.reducer.learned())) == said
     kept = json.loads(json.dumps(here.reducer.learned()))
-    for odd in (None, [], {"all": [1, 2]}, {"all": [float("inf")] * 15}, {"categories": [["x"] * 3]},
-                {"kinds": {"0": [True] * 4}}, {"workers": {"A": [[None] * 16, []], "nobody": [[], []]}},
-                {"workers": {"A": 7}}, {"workers": []}):
+    for odd in (
+        None,
+        [],
+        {"all": [1, 2]},
+        {"all": [float("inf")] * 15},
+        {"categories": [["x"] * 3]},
+        {"kinds": {"0": [True] * 4}},
+        {"workers": {"A": [[None] * 16, []], "nobody": [[], []]}},
+        {"workers": {"A": 7}},
+        {"workers": []},
+    ):
         learned.imported(here.reducer.balancer, here.reducer.workers, odd)
         assert json.loads(json.dumps(here.reducer.learned())) == kept
 
@@ -287,14 +356,18 @@
         Reader().feed(struct.pack("!I", 2) + b"[]")
 
 
-@pytest.mark.parametrize("text, said", [
-    ("x", "BALANCER_FD is malformed: 'x' is not a descriptor's number"),
-    ("-1", "BALANCER_FD is malformed: '-1' is not a descriptor's number"),
-    ("987", "BALANCER_FD is malformed: 987 is no open socket"),
-    ("99999999999999999999", "BALANCER_FD is malformed: 99999999999999999999 is no open socket"),
-    ("{file}", "BALANCER_FD is malformed: {file} is no open socket"),
-    ("{udp}", "BALANCER_FD is malformed: {udp} does not listen"),
-    ("{tcp}", "BALANCER_FD is malformed: {tcp} does not listen")])
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        ("x", "BALANCER_FD is malformed: 'x' is not a descriptor's number"),
+        ("-1", "BALANCER_FD is malformed: '-1' is not a descriptor's number"),
+        ("987", "BALANCER_FD is malformed: 987 is no open socket"),
+        ("99999999999999999999", "BALANCER_FD is malformed: 99999999999999999999 is no open socket"),
+        ("{file}", "BALANCER_FD is malformed: {file} is no open socket"),
+        ("{udp}", "BALANCER_FD is malformed: {udp} does not listen"),
+        ("{tcp}", "BALANCER_FD is malformed: {tcp} does not listen"),
+    ],
+)
 def test_a_faulty_descriptor_is_named(tmp_path, text, said) -> None:
     configuration(tmp_path)
     file = os.open(tmp_path / "configuration.json", os.O_RDONLY)
@@ -308,6 +381,7 @@
 
 # ---- real processes
 
+
 class Echo(Stand):
     """A worker that serves every request, and notes the ids that it began."""
 
@@ -316,8 +390,10 @@
             while data := sock.recv(65536):
                 id = re.search(rb"X-Correlation-Id: (\w+)", data)[1].decode()
                 self.heard.append(id)
-                told = chunked('{"id":"%s","state":"started"}' % id,
-                               '{"id":"%s","state":"done","result":"%s"}' % (id, id))
+                told = chunked(
+                    '{"id":"%s","state":"started"}' % id,
+                    '{"id":"%s","state":"done","result":"%s"}' % (id, id),
+                )
                 started, done = told.split(b"}\n", 1)
                 sock.sendall(started + b"}\n")
                 gevent.sleep(0.02)
@@ -335,18 +411,30 @@
         self.door.set_inheritable(True)
         self.processes, self.answers, self.going, self.asked = [], {}, True, 0
         hosts = [entry(name, dial="%s:%d" % self.worker.place, site="east") for name in "abcdef"]
-        configuration(tmp_path, self.worker, self.discovery, listen="%s:%d" % self.door.getsockname(),
-                      settings=SETTINGS | {"ceilings": SETTINGS["ceilings"] | {"parallel-tries": False}},
-                      known={"seq": 41, "whole": True, "hosts": hosts})
+        configuration(
+            tmp_path,
+            self.worker,
+            self.discovery,
+            listen="%s:%d" % self.door.getsockname(),
+            settings=SETTINGS | {"ceilings": SETTINGS["ceilings"] | {"parallel-tries": False}},
+            known={"seq": 41, "whole": True, "hosts": hosts},
+        )
 
     def process(self) -> tuple[subprocess.Popen, tuple[str, int]]:
         with door() as free:
             place = free.getsockname()
         fd = self.door.fileno()
         running = subprocess.Popen(
-            [sys.executable, "-m", "opalwick", "serve", "--log", "WARNING"], pass_fds=(fd,),
-            env={**os.environ, "BALANCER_CONFIG": str(self.tmp_path / "configuration.json"),
-                 "BALANCER_FD": str(fd), "BALANCER_OPERATOR": "%s:%d" % place, "TMPDIR": str(self.tmp_path)})
+            [sys.executable, "-m", "opalwick", "serve", "--log", "WARNING"],
+            pass_fds=(fd,),
+            env={
+                **os.environ,
+                "BALANCER_CONFIG": str(self.tmp_path / "configuration.json"),
+                "BALANCER_FD": str(fd),
+                "BALANCER_OPERATOR": "%s:%d" % place,
+                "TMPDIR": str(self.tmp_path),
+            },
+        )
         self.processes.append(running)
         return running, place
 
@@ -412,7 +500,9 @@
     # one that is deferred has run nowhere, and may come again; all others ran once and have their own answer
     served = [id for id, answer in platform.answers.items() if answer == ("HTTP/1.1 200 OK", True)]
     assert {answer for answer in platform.answers.values()} <= {
-        ("HTTP/1.1 200 OK", True), ("HTTP/1.1 503 Service Unavailable", False)}
+        ("HTTP/1.1 200 OK", True),
+        ("HTTP/1.1 503 Service Unavailable", False),
+    }
     assert sorted(platform.worker.heard) == sorted(served) and len(served) > 0.9 * platform.asked
 
 
@@ -430,7 +520,7 @@
     gevent.sleep(0.5)
     platform.going = False
     client.join(5.0)
-    third, place = platform.process()           # and the next one finds it where the first was
+    third, place = platform.process()  # and the next one finds it where the first was
     assert platform.ready(place)
     for _ in range(100):
         gevent.sleep(0.05)
--- a/tests/test_install.py
+++ b/tests/test_install.py
@@ -57,8 +57,17 @@
     env = {key: value for key, value in os.environ.items() if key != "OPALWICK_CONFIG"}
     env |= {"PYTHONPATH": str(place / "lib"), "TERM": "dumb"}
     started = [
-        (words, subprocess.Popen([sys.executable, *arguments], cwd=place, env=env, text=True,
-                                 stdout=subprocess.PIPE, stderr=subprocess.STDOUT))
+        (
+            words,
+            subprocess.Popen(
+                [sys.executable, *arguments],
+                cwd=place,
+                env=env,
+                text=True,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+            ),
+        )
         for arguments, words in PROGRAMS
     ]
     for words, process in started:
@@ -69,5 +78,8 @@
 def test_no_source_names_what_operators_machines_reject() -> None:
     """Programs that preload, trace others or share memory past the network are not started there (DEPLOY)."""
     words = re.compile("/dev/" + "shm|LD_" + "PRELOAD|ptr" + "ace|shm_" + "open")
-    assert not [path for path in ROOT.rglob("*.py")
-                if path.parts[len(ROOT.parts)] in ("opalwick", "bench") and words.search(path.read_text())]
+    assert not [
+        path
+        for path in ROOT.rglob("*.py")
+        if path.parts[len(ROOT.parts)] in ("opalwick", "bench") and words.search(path.read_text())
+    ]
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,4 +1,5 @@
 """The list of tests that are known to fail: what may stand there, and how they are run."""
+
 from __future__ import annotations
 
 import importlib.util
@@ -27,8 +28,9 @@
 
 
 def test_listed_tests_are_left_out_and_run_apart(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
-    root = listed(tmp_path, "test_some.py::test_fails | a fault | 7",
-                  "test_some.py::test_passes | mended | #8")
+    root = listed(
+        tmp_path, "test_some.py::test_fails | a fault | 7", "test_some.py::test_passes | mended | #8"
+    )
     assert known_red.main(["check"], root) == 0 == known_red.main(["deselect"], root)
     told = capsys.readouterr().out
     assert told == "--deselect=test_some.py::test_fails --deselect=test_some.py::test_passes\n"
@@ -43,14 +45,19 @@
     assert known_red.main(["run"], root) == known_red.FAILED
 
 
-@pytest.mark.parametrize("lines, why", [
-    (["t.py::a | x"], ":3: must be TEST | CAUSE | ISSUE"),
-    (["t.py::a | | 7"], ":3: must be TEST | CAUSE | ISSUE"),
-    (["t.py | x | 7"], ":3: 't.py' is no test's id"),
-    (["t.py::a | x | soon"], ":3: 'soon' is no issue's number"),
-    ([f"t.py::{n} | x | 7" for n in "abcd"], "4 tests are listed, 3 may be")])
+@pytest.mark.parametrize(
+    "lines, why",
+    [
+        (["t.py::a | x"], ":3: must be TEST | CAUSE | ISSUE"),
+        (["t.py::a | | 7"], ":3: must be TEST | CAUSE | ISSUE"),
+        (["t.py | x | 7"], ":3: 't.py' is no test's id"),
+        (["t.py::a | x | soon"], ":3: 'soon' is no issue's number"),
+        ([f"t.py::{n} | x | 7" for n in "abcd"], "4 tests are listed, 3 may be"),
+    ],
+)
 def test_faulty_lists_are_refused(
-        tmp_path: Path, capsys: pytest.CaptureFixture[str], lines: list[str], why: str) -> None:
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], lines: list[str], why: str
+) -> None:
     for call in ("check", "deselect", "run"):
         assert known_red.main([call], listed(tmp_path, *lines)) == known_red.FAULTY
         assert why in capsys.readouterr().err
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -111,8 +111,18 @@
 
 def test_built_in_days_break_no_rule_and_no_promise() -> None:
     days = {name: read(name) for name in built_in()}
-    assert {"calm", "loss", "pauses", "one-way", "split", "flap", "restart-all", "seven-in-ten", "late-start",
-            "mixed"} <= days.keys()
+    assert {
+        "calm",
+        "loss",
+        "pauses",
+        "one-way",
+        "split",
+        "flap",
+        "restart-all",
+        "seven-in-ten",
+        "late-start",
+        "mixed",
+    } <= days.keys()
     for name in ("pauses", "late-start"):
         day = parse(write(days[name]).replace("workers = 18", "workers = 4"), name)
         report, _ = reported(play(day, 2))
@@ -221,5 +231,3 @@
     text = FLEET.format(faults="\n".join(lines)).replace("rate = 0.001, most = 0", "rate = 20.0")
     report, _ = reported(play(parse(text, "d"), 2))
     assert sum(report["rules"].values()) == 0 and report["taken"] > 50
-
-
--- a/tests/test_lab_judge.py
+++ b/tests/test_lab_judge.py
@@ -174,8 +174,9 @@
 
     # past the expiry by 0.3 s; what counts is whether it was starved then, and not at the day's end
     assert lost(5_300_000) == 0
-    found = judged(asked(0), (5_300_000, "answered", "x", "written off", None, 0.0),
-                   (6_000_000, "starved", "s0", 0.4))
+    found = judged(
+        asked(0), (5_300_000, "answered", "x", "written off", None, 0.0), (6_000_000, "starved", "s0", 0.4)
+    )
     assert found["rules"]["lost"] == 1
     rows = asked(0), (5_100_000, "answered", "x", "finished", None, 0.0), (5_130_000, "arrived", 1, "x", "A")
     assert judged(*sorted([*rows, *spans], key=lambda row: row[0]))["rules"]["late_sends"] == 1
--- a/tests/test_lab_post_home.py
+++ b/tests/test_lab_post_home.py
@@ -105,8 +105,10 @@
 
 def moved(world: HomeWorld, report: Report) -> None:
     """Those that waited stayed at their old home, new ones are at the new one; no message was at both."""
-    homes = {(world.tries_of[rid], world.day.region(world.machines[node].zone))
-             for _, _, node, rid, _ in rows(world, "stored")}
+    homes = {
+        (world.tries_of[rid], world.day.region(world.machines[node].zone))
+        for _, _, node, rid, _ in rows(world, "stored")
+    }
     assert {("pump", "cl"), ("pump", "jo"), ("gate", "jo")} <= homes
 
 
@@ -116,29 +118,38 @@
 
 CASES: dict[str, tuple[PostDay, Callable[[HomeWorld, Report], None]]] = {
     "all home workers are gone for a while": (
-        day(fault("crash", 1.0, part=1.0, size=3.0, of=["jo"])), waited),
-    "fewer depots at home than copies": (
-        day(fault("kill", 1.5, part=1.0, size=3.0, of=DEPOTS[:2])), refused),
+        day(fault("crash", 1.0, part=1.0, size=3.0, of=["jo"])),
+        waited,
+    ),
+    "fewer depots at home than copies": (day(fault("kill", 1.5, part=1.0, size=3.0, of=DEPOTS[:2])), refused),
     "a depot is retired whose only peers are abroad": (
-        day(fault("retire", 0.5, of=DEPOTS[:1]) + fault("retire", 3.0, of=DEPOTS[1:2]),
-            depots=8), once_retired),
+        day(fault("retire", 0.5, of=DEPOTS[:1]) + fault("retire", 3.0, of=DEPOTS[1:2]), depots=8),
+        once_retired,
+    ),
     "rebalancing and a power loss at once": (
-        day(fault("retire", 1.0, of=DEPOTS[:1]) + fault("power", 1.2, of=DEPOTS[1:2], part=1.0, size=1.5),
-            depots=8), proven),
+        day(
+            fault("retire", 1.0, of=DEPOTS[:1]) + fault("power", 1.2, of=DEPOTS[1:2], part=1.0, size=1.5),
+            depots=8,
+        ),
+        proven,
+    ),
     "home moves while messages wait, and an edge sleeps": (
-        day(fault("crash", 0.5, part=1.0, size=3.0, of=["cl"]) + fault("rehomed", 1.5, of=["pump"])
-            + fault("freeze", 1.2, 1.6, of=["counter-0"]), length="6 s"), moved),
-    "a partner is added in mid-traffic": (
-        day(fault("added", 1.0), HOME + "later = true\n"), proven),
-    "an edge whose settings change region": (
-        day(fault("resettled", 1.0, 2.0, of=["counter-1"])), proven),
-    "a depot whose settings change region": (
-        day(fault("resettled", 1.0, 2.0, of=["depot-1"])), proven),
-    "countries cut from each other": (
-        day(fault("cut", 1.0, 3.0, of=["jo"], to=["cl"], part=1.0)), proven),
+        day(
+            fault("crash", 0.5, part=1.0, size=3.0, of=["cl"])
+            + fault("rehomed", 1.5, of=["pump"])
+            + fault("freeze", 1.2, 1.6, of=["counter-0"]),
+            length="6 s",
+        ),
+        moved,
+    ),
+    "a partner is added in mid-traffic": (day(fault("added", 1.0), HOME + "later = true\n"), proven),
+    "an edge whose settings change region": (day(fault("resettled", 1.0, 2.0, of=["counter-1"])), proven),
+    "a depot whose settings change region": (day(fault("resettled", 1.0, 2.0, of=["depot-1"])), proven),
+    "countries cut from each other": (day(fault("cut", 1.0, 3.0, of=["jo"], to=["cl"], part=1.0)), proven),
     "workers that claim another zone, addresses reused from abroad": (
         day(fault("claims", 1.0, 2.0, of=["pump"], part=0.5) + fault("usurped", 1.0, of=["gate"], part=0.5)),
-        proven),
+        proven,
+    ),
 }
 
 
@@ -176,7 +187,11 @@
     world.run()
     status, told = read[0]
     assert status == 200 and json.loads(told)["partners"][1] == {
-        "service": "pump", "home": "jo", "short": "wait", "wait_s": 60.0}
+        "service": "pump",
+        "home": "jo",
+        "short": "wait",
+        "wait_s": 60.0,
+    }
 
 
 def test_only_a_keeper_changes_a_policy_that_has_some() -> None:
@@ -187,9 +202,14 @@
 
     def put(gen: int, key: str) -> None:
         sent = json.dumps(body | {"gen": gen, "keepers": [{"name": "desk", "sha256": digest}]}).encode()
-        Exchange(world, "operator", world.machines["office-1"],
-                 request(b"PUT", "/home", body=sent, authorization=f"Bearer {key}"),
-                 lambda status, *_: statuses.append(status), 1.0)
+        Exchange(
+            world,
+            "operator",
+            world.machines["office-1"],
+            request(b"PUT", "/home", body=sent, authorization=f"Bearer {key}"),
+            lambda status, *_: statuses.append(status),
+            1.0,
+        )
 
     for i, (gen, key) in enumerate(((7, ""), (8, "other"), (9, "key"))):
         world.agenda.at(8.0 + i, put, gen, key)
@@ -210,8 +230,9 @@
 
 def repairs(patch: pytest.MonkeyPatch) -> None:
     choose = Moving.choose
-    patch.setattr(Moving, "choose", lambda self, mid, holders, count=1, home="": choose(
-        self, mid, holders, count))
+    patch.setattr(
+        Moving, "choose", lambda self, mid, holders, count=1, home="": choose(self, mid, holders, count)
+    )
 
 
 def takers(patch: pytest.MonkeyPatch) -> None:
--- a/tests/test_lab_post_mutants.py
+++ b/tests/test_lab_post_mutants.py
@@ -250,21 +250,26 @@
             break
     return found
 
-ORDERS = (fault("changes", 1.0, 8.0, size=0.7) + fault("orders_again", 1.0, 9.0, size=0.4)
-          + fault("same_number", 1.0, 8.0, size=0.8) + fault("reads", 1.0, 9.0, size=0.1))
+
+ORDERS = (
+    fault("changes", 1.0, 8.0, size=0.7)
+    + fault("orders_again", 1.0, 9.0, size=0.4)
+    + fault("same_number", 1.0, 8.0, size=0.8)
+    + fault("reads", 1.0, 9.0, size=0.1)
+)
 
 
-@mutant("length = \"10 s\"\n" + ORDERS, "NUMBER")
+@mutant('length = "10 s"\n' + ORDERS, "NUMBER")
 def another_content_is_confirmed(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(numbers, "match", lambda newest, given: numbers.Match.SAME)
 
 
-@mutant("length = \"10 s\"\n" + ORDERS, "NUMBER")
+@mutant('length = "10 s"\n' + ORDERS, "NUMBER")
 def a_repeated_order_is_refused(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(numbers, "match", lambda newest, given: numbers.Match.OTHER)
 
 
-@mutant("length = \"12 s\"\n" + ORDERS + fault("alone", 2.0, 8.0, of=["office-0"]), "STALE")
+@mutant('length = "12 s"\n' + ORDERS + fault("alone", 2.0, 8.0, of=["office-0"]), "STALE")
 def reads_answered_by_whoever_is_asked(patch: pytest.MonkeyPatch) -> None:
     at_primary = Office.at_primary
 
@@ -276,8 +281,12 @@
     patch.setattr(Office, "at_primary", here)
 
 
-@mutant("length = \"14 s\"\n" + fault("release", 3.0, 1.0, part=1.0, size=0.5)
-        + fault("alone", 1.0, 11.0, of=["office-0"]), "ALONE")
+@mutant(
+    'length = "14 s"\n'
+    + fault("release", 3.0, 1.0, part=1.0, size=0.5)
+    + fault("alone", 1.0, 11.0, of=["office-0"]),
+    "ALONE",
+)
 def a_drain_confirmed_by_one_alone(patch: pytest.MonkeyPatch) -> None:
     def tell(self: Notices, now: float, news: Any, links: Any, answer: Any) -> None:
         answer(True)
--- a/tests/test_lab_post_sockets.py
+++ b/tests/test_lab_post_sockets.py
@@ -41,12 +41,12 @@
     report = run(parse(SHORT, "short"), 1, "sockets", tmp_path)
     folders = [entry for entry in Path("/proc").iterdir() if entry.name.isdigit()]
     assert not any(str(tmp_path) in _settings(folder) for folder in folders)  # it ended all that it started
-    if report["void"]:                          # what has a time bound cannot be held on this machine now
+    if report["void"]:  # what has a time bound cannot be held on this machine now
         pytest.skip(report["void"])
     assert report["accepted"] and report["broken"] == []
     assert "counter-0's process is there again" in report["page"]
     lives = [line for line in (tmp_path / "counter-0.log").read_text().splitlines() if '"post:101"' in line]
-    assert len(lives) == 2                      # it was ready in each of its lives
+    assert len(lives) == 2  # it was ready in each of its lives
 
 
 def _settings(folder: Path) -> str:
@@ -60,7 +60,9 @@
     with pytest.raises(BadDay, match="stores: --clock sockets cannot bring about power, reset, slow_disk"):
         found("stores", 1, "sockets")
     assert {fault.kind for seed in range(40) for fault in found("drawn", seed, "sockets").faults} >= {
-        "kill", "freeze"}
+        "kill",
+        "freeze",
+    }
     assert (code_of(2, 0), code_of(2, 1), code_of(0, 0)) == (1, 3, 0)
 
 
--- a/tests/test_lab_post_window.py
+++ b/tests/test_lab_post_window.py
@@ -1,4 +1,5 @@
 """Maintenance windows on the virtual clock, with the post's own roles: the hard cases, and mutants."""
+
 from __future__ import annotations
 
 from typing import Any
@@ -125,8 +126,10 @@
 
 
 def test_times_of_day_100_ms_apart() -> None:
-    faults = "".join(fault("step", 0.5, rest=f'of = ["{m}"]\nsize = {size}')
-                     for m, size in (("office-0", 0.05), ("office-1", -0.05), ("depot-0", 0.05)))
+    faults = "".join(
+        fault("step", 0.5, rest=f'of = ["{m}"]\nsize = {size}')
+        for m, size in (("office-0", 0.05), ("office-1", -0.05), ("depot-0", 0.05))
+    )
     _, report, figures = played(day(faults=faults))
     sound(report, figures)
 
@@ -139,7 +142,7 @@
 
 def test_a_tenant_far_over_its_share_is_held_to_it() -> None:
     """Its route is refused with a time to come back; the others are served."""
-    window = 'shares = true\nshare = 0.2\npartners = {r-plain = 5.0, r-crowd = 1.0}'
+    window = "shares = true\nshare = 0.2\npartners = {r-plain = 5.0, r-crowd = 1.0}"
     world, report, figures = played(day(window, length=9, top="crowd = 90.0", slots=1))
     assert not report["broken"] and not report["lost"]
     own, crowd = served(world.ledger.rows, world.day), served(world.ledger.rows, world.day, "crowd")
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -89,7 +89,7 @@
     relay.way.delay = 0.05
     began = time.monotonic()
     assert asked(sock, b"x", 1.0) == b"x"
-    assert time.monotonic() - began >= 0.08     # the loop's clock runs a little ahead
+    assert time.monotonic() - began >= 0.08  # the loop's clock runs a little ahead
     relay.way.delay, relay.way.rate = 0.0, 20000.0
     began = time.monotonic()
     assert asked(sock, b"y" * 2000, 2.0) == b"y" * 2000
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,4 +1,5 @@
 """The operators' address: calls, figures, workers out by hand and drains, on loopback."""
+
 from __future__ import annotations
 
 import re
@@ -14,7 +15,7 @@
 from opalwick.program.configuration import BadConfiguration, read
 from opalwick.protocol.figures import Counts, text
 
-BUSY = chunked('{"id":"c1","state":"started"}', last=False)[:-1]     # begun, and never done
+BUSY = chunked('{"id":"c1","state":"started"}', last=False)[:-1]  # begun, and never done
 
 
 class Operated(Served):
@@ -43,22 +44,53 @@
 
 def test_calls_and_their_answers(tmp_path) -> None:
     operated = Operated(tmp_path, DONE)
-    wrong = ["GET /", "PUT /ready", "POST /metrics", "GET /drain", "GET /workers/disable?who=a",
-             "PUT /workers/disable", "PUT /workers/disable?who=", "PUT /workers/disable?who=a&who=a",
-             "PUT /workers/disable?who=%zz", "PUT /workers/disable?who=%ff",
-             f"PUT /workers/disable?who={'a' * 256}", "PUT /workers/enable?who=nobody", "GET /-/ready"]
+    wrong = [
+        "GET /",
+        "PUT /ready",
+        "POST /metrics",
+        "GET /drain",
+        "GET /workers/disable?who=a",
+        "PUT /workers/disable",
+        "PUT /workers/disable?who=",
+        "PUT /workers/disable?who=a&who=a",
+        "PUT /workers/disable?who=%zz",
+        "PUT /workers/disable?who=%ff",
+        f"PUT /workers/disable?who={'a' * 256}",
+        "PUT /workers/enable?who=nobody",
+        "GET /-/ready",
+    ]
     assert [operated.call(line) for line in wrong] == [
-        "404 no such call", "405 only GET", "405 only GET", "405 only PUT", "405 only PUT",
-        "400 who is missing", "400 who is empty", "400 who stands there twice",
-        "400 the query is badly escaped", "400 the query is malformed", "400 who is too long",
-        "404 no such worker", "404 no such call"]
+        "404 no such call",
+        "405 only GET",
+        "405 only GET",
+        "405 only PUT",
+        "405 only PUT",
+        "400 who is missing",
+        "400 who is empty",
+        "400 who stands there twice",
+        "400 the query is badly escaped",
+        "400 the query is malformed",
+        "400 who is too long",
+        "404 no such worker",
+        "404 no such call",
+    ]
     assert operated.say(b"nonsense\r\n\r\n")[:3] == "400"
     assert operated.call("GET /ready", "X: " + "y" * 40000)[:3] == "431"
     # none of these has changed anything
     assert (operated.scheduler.reducer.out(), operated.call("GET /ready")) == ([], "200 yes")
-    right = ["GET /ready?x=1", "PUT /workers/disable?who=%61", "PUT /workers/disable?x=1&who=a",
-             "PUT /workers/enable?who=a", "PUT /workers/enable?who=a", "PUT /drain", "GET /ready",
-             "PUT /drain", "PUT /undrain", "PUT /undrain", "GET /ready"]
+    right = [
+        "GET /ready?x=1",
+        "PUT /workers/disable?who=%61",
+        "PUT /workers/disable?x=1&who=a",
+        "PUT /workers/enable?who=a",
+        "PUT /workers/enable?who=a",
+        "PUT /drain",
+        "GET /ready",
+        "PUT /drain",
+        "PUT /undrain",
+        "PUT /undrain",
+        "GET /ready",
+    ]
     assert [operated.call(line) for line in right] == ["200 yes"] * 6 + ["503 no"] + ["200 yes"] * 4
     assert operated.say(b"PUT /drain HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc") == "200 yes"
     operated.stop()
@@ -84,15 +116,29 @@
 def test_counts_are_what_the_other_sides_saw(tmp_path) -> None:
     full = b"HTTP/1.1 503 x\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
     failed = chunked('{"id":"c1","state":"failed"}')
-    operated = Operated(tmp_path, DONE, failed, DONE, full, None, settings=SETTINGS | {
-        "ceilings": SETTINGS["ceilings"] | {"max-hand-offs": 1}})
-    seen = [first(operated.ask(post()))[9:12], first(operated.ask(post("/pay/1")))[9:12],
-            first(operated.ask(post()))[9:12], first(operated.ask(post()))[9:12]]
-    operated.ask(post("/none/1", X_Service_Class="none"))       # no category: it has no figure
-    gevent.sleep(0.2)                           # the worker rests after it was full
+    operated = Operated(
+        tmp_path,
+        DONE,
+        failed,
+        DONE,
+        full,
+        None,
+        settings=SETTINGS | {"ceilings": SETTINGS["ceilings"] | {"max-hand-offs": 1}},
+    )
+    seen = [
+        first(operated.ask(post()))[9:12],
+        first(operated.ask(post("/pay/1")))[9:12],
+        first(operated.ask(post()))[9:12],
+        first(operated.ask(post()))[9:12],
+    ]
+    operated.ask(post("/none/1", X_Service_Class="none"))  # no category: it has no figure
+    gevent.sleep(0.2)  # the worker rests after it was full
     waits = operated.ask(post())
-    names = [f"operations.{name}.{final}" for name in ("look", "pay")
-             for final in ("fulfilled", "throttled", "faulted")]
+    names = [
+        f"operations.{name}.{final}"
+        for name in ("look", "pay")
+        for final in ("fulfilled", "throttled", "faulted")
+    ]
     found = {name: operated.figure(name) for name in [*names, "relayed", "open_requests"]}
     assert seen == ["200", "504", "200", "503"]
     assert found == dict(zip(names, [2, 1, 0, 0, 0, 1])) | {"relayed": 5, "open_requests": 1}
@@ -115,8 +161,12 @@
     for status in (200, 200, 429, 503, 400, 504):
         counts.final(odd, status)
     assert text({"a:b|c\n": odd}, counts, {"open_requests": 3}).decode().splitlines() == [
-        "svc.operations.a_b_c_.fulfilled:2|c", "svc.operations.a_b_c_.throttled:2|c",
-        "svc.operations.a_b_c_.faulted:2|c", "svc.relayed:0|c", "svc.open_requests:3|g"]
+        "svc.operations.a_b_c_.fulfilled:2|c",
+        "svc.operations.a_b_c_.throttled:2|c",
+        "svc.operations.a_b_c_.faulted:2|c",
+        "svc.relayed:0|c",
+        "svc.open_requests:3|g",
+    ]
 
 
 def test_workers_are_counted_as_they_are_at_that_moment(tmp_path) -> None:
@@ -125,7 +175,7 @@
     put("listed", ListForm.CHANGES, [Desk.row("b"), Desk.row("c", Phase.DRAINING), Desk.row("d", Phase.GONE)])
     operated.call("PUT /workers/disable?who=b")
     assert (operated.figure("registry_entries"), operated.figure("out_of_rotation")) == (3, 2)
-    put("listed", ListForm.FULL, [Desk.row("c")])               # what is missing there is gone
+    put("listed", ListForm.FULL, [Desk.row("c")])  # what is missing there is gone
     assert (operated.figure("registry_entries"), operated.figure("out_of_rotation")) == (1, 0)
     operated.stop()
 
@@ -133,12 +183,14 @@
 def test_a_worker_left_out_stays_so_whatever_is_listed() -> None:
     desk = Desk("AB")
     desk.put("disabled", "A")
-    for change in (lambda: desk.put("listed", ListForm.FULL, [Desk.row("A"), Desk.row("B")]),
-                   lambda: desk.put("listed", ListForm.CHANGES, [Desk.row("A", Phase.DRAINING)]),
-                   lambda: desk.put("listed", ListForm.CHANGES, [Desk.row("A")]),
-                   lambda: desk.put("listed", ListForm.FULL, [Desk.row("B")]),
-                   lambda: desk.put("listed", ListForm.FULL, [Desk.row("A"), Desk.row("B")]),
-                   lambda: desk.put("moved")):
+    for change in (
+        lambda: desk.put("listed", ListForm.FULL, [Desk.row("A"), Desk.row("B")]),
+        lambda: desk.put("listed", ListForm.CHANGES, [Desk.row("A", Phase.DRAINING)]),
+        lambda: desk.put("listed", ListForm.CHANGES, [Desk.row("A")]),
+        lambda: desk.put("listed", ListForm.FULL, [Desk.row("B")]),
+        lambda: desk.put("listed", ListForm.FULL, [Desk.row("A"), Desk.row("B")]),
+        lambda: desk.put("moved"),
+    ):
         change()
         desk.lines.clear()
         for key in "abc":
@@ -146,11 +198,11 @@
         assert [line.split(": ")[1][:10] for line in desk.lines] == ["send a 0 B", "send b 0 B", "send c 0 B"]
         for key in "abc":
             desk.put("ended", key, 0, Outcome.FINISHED)
-    desk.put("disabled", "B")                                   # the last one too
+    desk.put("disabled", "B")  # the last one too
     desk.lines.clear()
     desk.take("g")
     assert "send" not in desk.lines[0]
-    desk.put("disabled", "A")                                   # twice is once
+    desk.put("disabled", "A")  # twice is once
     desk.put("enabled", "A")
     desk.lines.clear()
     desk.take("h")
@@ -163,7 +215,7 @@
     send = bench.pull()[0]
     other = bench.workers["B" if send.ho.worker is bench.workers["A"] else "A"]
     bench.balancer.banned(other, True)
-    bench.wait(1.0)                                             # no start note: it would move
+    bench.wait(1.0)  # no start note: it would move
     assert bench.items["a"].hand_offs == [send.ho]
     bench.balancer.banned(send.ho.worker, True)
     bench.end("a")
@@ -181,9 +233,9 @@
     bench.wait(1.0)
     bench.list(ListForm.CHANGES, ready={"A": bench.now - 2.0}, A=Phase.READY)
     bench.balancer.banned(worker, False)
-    for name in "abcd":                                         # what the mean item weighs
+    for name in "abcd":  # what the mean item weighs
         bench.take(name, work=0.2)
-    bench.take("e", category=1, work=0.02)                      # not rerunnable: no trial
+    bench.take("e", category=1, work=0.02)  # not rerunnable: no trial
     bench.pull()
     assert not worker.flights
     bench.take("f", work=0.02)
@@ -191,11 +243,17 @@
     assert [ho.wi for ho in worker.flights] == [bench.items["f"]] and not worker.owed
 
 
-@pytest.mark.parametrize("faulty, said", [
-    ({"operator": 7}, "operator is malformed: not an address: 7"),
-    ({"operator": "here"}, "operator is malformed: not an address: 'here'"),
-    ({"operator": "127.0.0.1:80", "listen": "127.0.0.1:80"},
-     "operator is malformed: '127.0.0.1:80' is where clients connect")])
+@pytest.mark.parametrize(
+    "faulty, said",
+    [
+        ({"operator": 7}, "operator is malformed: not an address: 7"),
+        ({"operator": "here"}, "operator is malformed: not an address: 'here'"),
+        (
+            {"operator": "127.0.0.1:80", "listen": "127.0.0.1:80"},
+            "operator is malformed: '127.0.0.1:80' is where clients connect",
+        ),
+    ],
+)
 def test_a_faulty_operators_address_is_named(tmp_path, faulty, said) -> None:
     with pytest.raises(BadConfiguration) as problem:
         configuration(tmp_path, **faulty)
@@ -204,8 +262,9 @@
 
 def test_the_operators_address_comes_from_the_environment_too(tmp_path) -> None:
     assert configuration(tmp_path).operator is None
-    found = read({"BALANCER_CONFIG": str(tmp_path / "configuration.json"),
-                  "BALANCER_OPERATOR": "127.0.0.1:9"})
+    found = read(
+        {"BALANCER_CONFIG": str(tmp_path / "configuration.json"), "BALANCER_OPERATOR": "127.0.0.1:9"}
+    )
     assert found.operator == ("127.0.0.1", 9)
 
 
@@ -235,23 +294,42 @@
 
 # ---- drain
 
+
 def test_a_drain_ends_kept_connections_between_requests_and_takes_them_again(tmp_path) -> None:
     operated = Operated(tmp_path, *[DONE] * 9)
     limits = operated.scheduler.limits
     kept, idle = operated.ask(post()), operated.ask(post())
     trace = [first(kept), first(idle), operated.call("PUT /drain"), first(operated.ask(READY))]
-    kept.sendall(post())                        # at first all goes on
+    kept.sendall(post())  # at first all goes on
     trace += [first(kept), first(operated.ask(post()))]
     gevent.sleep(limits.drained)
-    kept.sendall(post())                        # then an answer ends its connection, so that nothing crosses
+    kept.sendall(post())  # then an answer ends its connection, so that nothing crosses
     trace += [first(kept), kept.recv(9).decode(), first(operated.ask(READY))]
     gevent.sleep(limits.ask + 0.05)
-    trace += [idle.recv(9).decode(), str(len(operated.scheduler.door.conversations)),
-              operated.call("PUT /undrain"), first(operated.ask(READY)), first(operated.ask(post()))]
+    trace += [
+        idle.recv(9).decode(),
+        str(len(operated.scheduler.door.conversations)),
+        operated.call("PUT /undrain"),
+        first(operated.ask(READY)),
+        first(operated.ask(post())),
+    ]
     served, again = "HTTP/1.1 200 OK | 7", "HTTP/1.1 503 Service Unavailable"
-    assert trace == [served, served, "200 yes", again, served, served,
-                     "HTTP/1.1 200 OK | Connection: close | 7", "", again + " | Connection: close", "", "0",
-                     "200 yes", "HTTP/1.1 200 OK", served]
+    assert trace == [
+        served,
+        served,
+        "200 yes",
+        again,
+        served,
+        served,
+        "HTTP/1.1 200 OK | Connection: close | 7",
+        "",
+        again + " | Connection: close",
+        "",
+        "0",
+        "200 yes",
+        "HTTP/1.1 200 OK",
+        served,
+    ]
     operated.stop()
 
 
@@ -261,7 +339,7 @@
     sock = operated.ask(post())
     first(sock)
     operated.call("PUT /drain")
-    conversation, = operated.scheduler.door.conversations
+    (conversation,) = operated.scheduler.door.conversations
     gevent.sleep(operated.scheduler.limits.drained + operated.scheduler.limits.ask - 0.1)
     half = post()
     sock.sendall(half[:60])
--- a/tests/test_post_ceilings.py
+++ b/tests/test_post_ceilings.py
@@ -1,4 +1,5 @@
 """Ceilings: counters and voters on a net of virtual time; who holds a duty, and how many permits are used."""
+
 from __future__ import annotations
 
 from collections import deque
@@ -14,13 +15,19 @@
 class Leases(Net):
     """Three voters, three counters that all want permits for one service; never two hold it at once."""
 
-    def __init__(self, seed: int = 0, rate: float = 20.0, lost: float = 0.0,
-                 late: tuple[float, float] = (0.001, 0.002), start: float | None = None) -> None:
+    def __init__(
+        self,
+        seed: int = 0,
+        rate: float = 20.0,
+        lost: float = 0.0,
+        late: tuple[float, float] = (0.001, 0.002),
+        start: float | None = None,
+    ) -> None:
         super().__init__(seed, late, lost)
         self.rate, self.lines, self.holder = rate, list[str](), ""
         self.voters = {f"o{n}": Duties(0.0, True) for n in (1, 2, 3)}
         self.counters = {f"c{n}": Ceilings(f"c{n}", 1) for n in (1, 2, 3)}
-        self.used, self.most, self.total = deque[float](), 0, 0     # permits as they came, in the last 5 s
+        self.used, self.most, self.total = deque[float](), 0, 0  # permits as they came, in the last 5 s
         for name, c in self.counters.items():
             c.configured({"s": rate}, list(self.counters), 3)
             self.at(0.1 * self.random.random() if start is None else start, self.tick, name)
@@ -48,8 +55,9 @@
             while self.used[0] <= self.now - 5.0:
                 self.used.popleft()
             self.most = max(self.most, len(self.used))
-        holders = [name for name, c in self.counters.items()
-                   if "s" in c.held and self.now < c.held["s"].until]
+        holders = [
+            name for name, c in self.counters.items() if "s" in c.held and self.now < c.held["s"].until
+        ]
         assert len(holders) <= 1, f"{self.now:.2f}: {holders} hold it at once"
         if (holder := "".join(holders)) != self.holder:
             self.holder = holder
@@ -89,7 +97,7 @@
     """Given back, and asked for again in turn; 651 notices failed while each renewed its minority."""
     n = Leases(start=0.5)
     for k, (me, c) in enumerate(n.counters.items(), 1):
-        c.none_since["s"] = -9.0                # long enough for the turn of each
+        c.none_since["s"] = -9.0  # long enough for the turn of each
         n.last |= {(me, office): 0.55 for office in n.voters if office != f"o{k}"}
     n.until(0.54)
     assert [v.holders(n.now) for v in n.voters.values()] == [{"s": f"{me}/1"} for me in n.counters]
@@ -123,7 +131,7 @@
     c.leased("o1", Leased(call=1, granted=["s"]))
     c.tick(0.45)
     assert [w.span for _, kind, w in c.effects()[0] if kind == "lease" and w.duties == ["s"]] == [1.4, 0.0]
-    c.now = 0.5                                 # by now both have granted it to another
+    c.now = 0.5  # by now both have granted it to another
     c.leased("o2", Leased(call=1, granted=["s"]))
     assert c.holds("s") is None
 
@@ -147,7 +155,7 @@
         c.now = now
         told = c.permit("c2", Permit(call=6, svc="s", count=8))
         assert (told.count, told.holder) == (count, True) and 0.03 < told.wait <= 0.05
-    c.now = 1.11                                # SPAN - MARGIN after it asked
+    c.now = 1.11  # SPAN - MARGIN after it asked
     assert not c.permit("c2", Permit(call=8, svc="s", count=8)).holder
     c.leased("o1", Leased(held={"s": "c2/1"}))
     c.want("s", 2)
