--- a/tests/test_post_moving.py
+++ b/tests/test_post_moving.py
@@ -1,4 +1,5 @@
 """Copies that must stand elsewhere: depots that hand over what they have, on a net of virtual time."""
+
 from __future__ import annotations
 
 import pytest
@@ -17,7 +18,7 @@
         super().__init__(seed, (0.001, 0.003))
         self.k: dict[str, Keeping] = {}
         self.letters: dict[str, dict[str, Letter]] = {}
-        self.told: list[tuple[str, str]] = []       # to the counter: kind, message
+        self.told: list[tuple[str, str]] = []  # to the counter: kind, message
         for name in names.split():
             self.start(name)
 
@@ -145,7 +146,7 @@
     d.gone("d1")
     d.until(5.0)
     d.start("d4")
-    d.until(4.0 + 4.5)                          # what a new machine is given until the next loss
+    d.until(4.0 + 4.5)  # what a new machine is given until the next loss
     assert all(len(d.copies(f"m{n}")) == 2 for n in range(600))
     d.until(12.0)
     assert sum(k.moving.figures["repaired"] for k in d.k.values()) == 400
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,4 +1,5 @@
 """Rings and connections."""
+
 from __future__ import annotations
 
 import gc
@@ -99,17 +100,17 @@
     for _ in range(2):
         with pytest.raises(NoRoom):
             pool.take(here)
-    other = pool.take(there)                    # another's is its own
+    other = pool.take(there)  # another's is its own
     here_now = [pool.open_to[here]]
     one.close()
-    pool.give(here, one)                        # broke in use
+    pool.give(here, one)  # broke in use
     three = pool.take(here)
     here_now.append(pool.open_to[here])
     for connection in (two, three):
         pool.give(here, connection)
     assert pool.shed()
     here_now.append(pool.open_to[here])
-    pool.take(here)                             # never connected, so it is not used again
+    pool.take(here)  # never connected, so it is not used again
     here_now.append(pool.open_to[here])
     pool.give(there, other)
     pool.idle.now = 0.0
@@ -135,14 +136,14 @@
         kept.append(pool.take(place))
         kept[-1].connect(place, 1.0)
     pool.rests(stand.place, 0.05)
-    pool.rests(other.place, 60.0)               # the pool's own time is the longest
+    pool.rests(other.place, 60.0)  # the pool's own time is the longest
     for place, connection in zip((stand.place, other.place), kept):
         pool.give(place, connection)
     assert (pool.rest(stand.place), pool.rest(other.place)) == (0.05, 5.0)
     gevent.sleep(0.06)
     again = pool.take(stand.place), pool.take(other.place)
     assert (again[0] is kept[0], again[1] is kept[1]) == (False, True)
-    assert pool.rest(stand.place) == 5.0        # forgotten with its last connection
+    assert pool.rest(stand.place) == 5.0  # forgotten with its last connection
     again[0].connect(stand.place, 1.0)
     pool.rests(stand.place, 0.0)
     pool.give(stand.place, again[0])
