--- a/opalwick/lab/post/day.py
+++ b/opalwick/lab/post/day.py
@@ -171,7 +171,7 @@
 
 
 _SPANS = {
-    "counters": (1, 400),
+    "counters": (1, 1000),
     "depots": (2, 50),
     "offices": (1, 9),
     "rate": (0, 5000),
