A message just accepted is told as the gateway's own when a store is heard again

The message was no longer waiting to be kept and not yet a delivery, so the list of what the gateway delivers lacked it; the store gave it to another gateway, and both sent it, the first 0.36 s after the other's success. Ruled out: the process before (another life, nothing held at its end); clocks (none stepped); a park or a lapse (none in the log). Change: Intake.under_way names what is accepted and not handed on. Measured: the new test fails without the change.

--- a/opalwick/post/counter/intake.py
+++ b/opalwick/post/counter/intake.py
@@ -122,8 +122,11 @@
     # ---- messages
 
     def under_way(self, node: str) -> list[str]:
-        """What this depot was asked to keep and this counter will deliver."""
-        return [mid for mid, wait in self.waits.items() if node in wait.asked and not wait.parked]
+        """What this depot was asked to keep and this counter will deliver: what has just been accepted and is
+        not handed on yet is among it, or the depot would take it for nobody's.
+        """
+        waits = [mid for mid, wait in self.waits.items() if node in wait.asked and not wait.parked]
+        return waits + [letter.mid for letter, touched in self.accepted if node in touched]
 
     def offered(self, call: Any, letter: Letter, parked: bool) -> None:
         order = self.order(letter.mid, letter.home)[: self.copies]
--- a/tests/test_post_safety.py
+++ b/tests/test_post_safety.py
@@ -11,6 +11,7 @@
 from test_post_roles import Spy
 
 from opalwick.post.counter.agent import CounterShell
+from opalwick.post.counter.role import Counter
 from opalwick.post.depot.disk import Disk
 from opalwick.post.depot.role import Depot
 from opalwick.post.office.role import Office
@@ -20,11 +21,13 @@
     Confirmed,
     Hand,
     Keep,
+    Kept,
     Known,
     Letter,
     News,
     Node,
     Pulse,
+    Route,
     Service,
     View,
 )
@@ -275,6 +278,45 @@
     disk.close()
 
 
+# ---- a counter that has just started
+
+
+def test_what_is_accepted_as_a_depot_is_heard_again_is_told_as_its_own() -> None:
+    """Found by a drawn day (TWICE): the last `kept` and a pulse came in one read. The message was no wait any
+    and no delivery yet, so it was not listed; the depot gave it to another, and both delivered it."""
+    text = DEPOT.replace("depot", "counter").replace("disk", "none").replace("datadir=/data\n", "")
+    counter = Counter(parse(text, "here"), 1, 0.0, 8)
+    depots = [Spy("depot", name) for name in ("d1", "d2")]
+    counter.directory.merge(
+        News(
+            conf=Conf(
+                gen=1,
+                body_bytes=99,
+                routes=[Route(name="r", host="h", stem="/", svc="s", deferred=True, retain=90.0, tries=3)],
+                services=[Service(name="s")],
+            )
+        )
+    )
+    counter.rounds.configured(counter.directory.conf)  # type: ignore[arg-type]
+    for depot in depots:
+        counter.joined(depot)
+    counter.settle()
+    call = Calling("POST", "/x")
+    letter = Letter(rid="1", host=b"h", method=b"POST", target=b"/x", body=b"x")
+    counter.offered(call, call.message, letter, 0.0)  # type: ignore[arg-type]
+    keep = next(word for kind, word in depots[0].said if kind == "keep")
+    for depot in depots:
+        depot.said.clear()
+        counter.hear(depot, "kept", Kept(mid=keep.letter.mid))
+    for depot in depots:
+        counter.hear(depot, "pulse", Pulse(echo=0.1))
+    counter.settle()
+    assert call.status == 202
+    for depot in depots:
+        listed = [list(word.mids) for kind, word in depot.said if kind == "mine" and word.whole]
+        assert listed and all(keep.letter.mid in mids for mids in listed), depot.said
+
+
 # ---- a counter that is told to end
 
 
