--- a/opalwick/lab/baselines.py
+++ b/opalwick/lab/baselines.py
@@ -8,8 +8,8 @@
 
 from opalwick.balance import Balancer
 from opalwick.interface import Decision, Effect, HandOff, Terms, Worker, WorkItem
-from opalwick.lab.world.world import World
 from opalwick.lab.world.worker import Worker as True_
+from opalwick.lab.world.world import World
 from opalwick.routing.reducer import Reducer
 
 
--- a/opalwick/lab/commands.py
+++ b/opalwick/lab/commands.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from functools import wraps
 from pathlib import Path
-from typing import Annotated, Any, Optional
+from typing import Annotated, Any
 
 import typer
 
@@ -135,7 +135,7 @@
         str, typer.Option(help="opalwick, or a baseline; on the virtual clock only.")
     ] = "opalwick",
     front: Annotated[str, typer.Option(help="http, or processor: behind proxies that ask it.")] = "http",
-    out: Annotated[Optional[Path], typer.Option(help="Keeps history, day, result and logs there.")] = None,
+    out: Annotated[Path | None, typer.Option(help="Keeps history, day, result and logs there.")] = None,
     as_json: Json = False,
 ) -> None:
     """Plays one day and judges it. Exit code 1: a rule was broken; 3: the machine was too busy."""
@@ -220,7 +220,7 @@
     seed: Seed = 1,
     clock: Annotated[str, typer.Option(help="virtual, or sockets: a process a member.")] = "virtual",
     members: Annotated[int, typer.Option(help="So many, instead of the day's own number; 0: that.")] = 0,
-    out: Annotated[Optional[Path], typer.Option(help="Keeps histories, day, page and logs there.")] = None,
+    out: Annotated[Path | None, typer.Option(help="Keeps histories, day, page and logs there.")] = None,
     as_json: Json = False,
 ) -> None:
     """Plays a day of many members with faults between them, and judges what the fleet promises.
@@ -354,7 +354,7 @@
     seed: Seed,
     policy: Annotated[str, typer.Option()] = "opalwick",
     below: Annotated[
-        Optional[float], typer.Option(help="A figure under this is the failure; else a broken rule is.")
+        float | None, typer.Option(help="A figure under this is the failure; else a broken rule is.")
     ] = None,
     out: Annotated[Path, typer.Option(help="The smaller day.")] = Path("shrunk.toml"),
 ) -> None:
@@ -405,7 +405,7 @@
     seed: Seed = 1,
     histories: Annotated[int, typer.Option(help="hunt: drawn histories, from that seed on.")] = 2000,
     jobs: Annotated[int, typer.Option(help="hunt: processes at once; 0: as many as cores.")] = 0,
-    out: Annotated[Optional[Path], typer.Option(help="hunt: keeps the days that broke a rule there.")] = None,
+    out: Annotated[Path | None, typer.Option(help="hunt: keeps the days that broke a rule there.")] = None,
     clock: Annotated[
         str, typer.Option(help="virtual, or sockets: the programs themselves, in real time, on loopback.")
     ] = "virtual",
--- a/opalwick/lab/experiment.py
+++ b/opalwick/lab/experiment.py
@@ -20,7 +20,6 @@
 from opalwick.lab.ledger import pack
 from opalwick.lab.series import series
 
-
 # what a history on sockets tells besides its rows
 SOCKETS = ("exits", "rude", "rude_unanswered", "late_ms", "relays_late_ms")
 
--- a/opalwick/lab/faults.py
+++ b/opalwick/lab/faults.py
@@ -14,8 +14,8 @@
 from opalwick.lab.day import Fault
 from opalwick.lab.draws import part
 from opalwick.lab.kinds import KINDS
-from opalwick.lab.world.world import World
 from opalwick.lab.world.worker import Worker
+from opalwick.lab.world.world import World
 
 Steps = Iterator[None]
 
--- a/opalwick/lab/fleet/day.py
+++ b/opalwick/lab/fleet/day.py
@@ -10,10 +10,9 @@
 from msgspec import Struct, field
 
 from opalwick.checked import Faulty, Seconds, decode, problem_at
-from opalwick.lab.day import Allow, BadDay, Clients, Day, Kind, Listing, Load, Model, Network
+from opalwick.lab.day import Allow, BadDay, Clients, Day, Kind, Listing, Load, Model, Network, text_of, write
 from opalwick.lab.day import built_in as others
 from opalwick.lab.day import check as check_day
-from opalwick.lab.day import text_of, write
 from opalwick.lab.fleet.kinds import KINDS, PARTS
 
 BUILT_IN = Path(__file__).parent / "days"
--- a/opalwick/lab/fleet/faults.py
+++ b/opalwick/lab/fleet/faults.py
@@ -13,6 +13,7 @@
 from opalwick.lab.faults import Steps, cut_links, hold, set_up
 from opalwick.lab.fleet.day import Fault, FleetDay
 from opalwick.lab.fleet.kinds import KINDS, WORKERS
+from opalwick.lab.ledger import Ledger
 from opalwick.lab.world.ways import (
     Bursts,
     Changed,
@@ -24,7 +25,6 @@
     Loss,
     Spell,
 )
-from opalwick.lab.ledger import Ledger
 from opalwick.lab.world.world import Processes, World
 
 STARVED = 0.02  # seconds by which a starved member is late at most, for each that shares its core
--- a/opalwick/lab/fleet/judge.py
+++ b/opalwick/lab/fleet/judge.py
@@ -243,7 +243,7 @@
     def _false(self, rows: list[tuple]) -> int:
         """False: no member that runs, and that a chain of two reaches, is held gone."""
         truth, bound, pause, count = self.truth, us(self.bounds["false"]), us(self.bounds["pause"]), 0
-        for at, _, member, life, whom, state, of in rows:
+        for at, _, member, _life, whom, state, of in rows:
             now = truth.life(whom, at)
             if state != "gone" or now is None or of > now or whom == member:
                 continue
@@ -325,7 +325,7 @@
         """Two owners: at no moment do two lives each hold that they own one sole duty."""
         count = 0
         for duty, spans in self._spans(claims).items():
-            for i, (begin, end, who) in enumerate(spans):
+            for i, (_begin, end, who) in enumerate(spans):
                 for later, until, other in spans[i + 1 :]:
                     if other != who and later < min(end, FOREVER):
                         both = (min(end, until) - later) / 1e6
--- a/opalwick/lab/fleet/report.py
+++ b/opalwick/lab/fleet/report.py
@@ -15,7 +15,7 @@
 
 
 def _bands(axis: Any, faults: list[list[Any]]) -> None:
-    for i, (kind, since, until) in enumerate(faults):
+    for kind, since, until in faults:
         axis.axvspan(since, until, color="#888888", alpha=0.12, lw=0)
         axis.annotate(
             kind, (since, 1.0), xycoords=("data", "axes fraction"), fontsize=6, va="bottom", rotation=20
--- a/opalwick/lab/hunt.py
+++ b/opalwick/lab/hunt.py
@@ -14,11 +14,11 @@
 
 import msgspec
 
+from opalwick.checked import Seconds
 from opalwick.lab.day import Day, Fault, parse, write
 from opalwick.lab.experiment import judged
 from opalwick.lab.judge import broken
 from opalwick.lab.kinds import KINDS
-from opalwick.checked import Seconds
 from opalwick.lab.scheduler import Make
 from opalwick.lab.virtual import play
 
--- a/opalwick/lab/judge.py
+++ b/opalwick/lab/judge.py
@@ -369,7 +369,7 @@
             c = self.categories[hand.item.category]
             if hand.began is not None and c["effect"] != "rerunnable":
                 ran.setdefault((hand.item.category, hand.item.key or hand.item.want), []).append(hand)
-        for (_, key), hands in ran.items():
+        for (_, _key), hands in ran.items():
             # those of one client's further tries are the scheduler's only where it had called them harmless,
             # and that stands above, so only what one work item did twice counts here
             for id, count in Counter(hand.item.id for hand in hands).items():
--- a/opalwick/lab/post/home_judge.py
+++ b/opalwick/lab/post/home_judge.py
@@ -95,7 +95,7 @@
             if one is None or homes is None:
                 continue
             away = min(([p for p in seen if p[2] != home] for home in sorted(homes)), key=len)
-            for at, what, country, octets, who in away:
+            for _at, what, _country, octets, _who in away:
                 if what in ("runs", "copies"):
                     self.abroad[what] += 1
                 if what != "runs":
--- a/opalwick/lab/post/run.py
+++ b/opalwick/lab/post/run.py
@@ -14,8 +14,8 @@
 from opalwick.checked import Seconds
 from opalwick.lab.day import BadDay, write
 from opalwick.lab.hunt import Shrinking
-from opalwick.lab.post.day import PostDay, drawn, parse
 from opalwick.lab.post import home_faults, home_world  # noqa: F401 - its faults are among the others then
+from opalwick.lab.post.day import PostDay, drawn, parse
 from opalwick.lab.post.faults import Scene
 from opalwick.lab.post.home_judge import judge as judge_home
 from opalwick.lab.post.home_world import HomeWorld
--- a/opalwick/lab/proxy.py
+++ b/opalwick/lab/proxy.py
@@ -12,8 +12,8 @@
 from opalwick.interface import Outcome, Terms
 from opalwick.lab.scheduler import START, Hand, Scheduler
 from opalwick.lab.world.clients import Try
-from opalwick.protocol.clients import subject
 from opalwick.processor.exchange import Asked, Call, Exchange, Go, Immediate, Proxy, Reported, Route
+from opalwick.protocol.clients import subject
 
 MESSAGE = 1.0  # seconds that a proxy waits for its processor: five times the usual default
 HELD_CALLS = 20000  # as many as one connection's streams by default
--- a/opalwick/lab/report.py
+++ b/opalwick/lab/report.py
@@ -103,7 +103,7 @@
         reports = [run["report"] for run in runs]
         mean, low, high = interval([r["figure"] for r in reports])
 
-        def share(key: str) -> str:
+        def share(key: str, reports: list[Any] = reports) -> str:
             return f"{sum(r[key] for r in reports) / max(1, sum(r['taken'] for r in reports)):.2%}"
 
         broken = sum(sum(r["rules"].values()) for r in reports)
--- a/opalwick/lab/scheduler.py
+++ b/opalwick/lab/scheduler.py
@@ -17,13 +17,13 @@
 from opalwick.lab.settings import settings
 from opalwick.lab.world.clients import Try
 from opalwick.lab.world.listing import Listed
-from opalwick.lab.world.world import World
 from opalwick.lab.world.worker import Job, Worker
-from opalwick.transport.pulse import Pulse
+from opalwick.lab.world.world import World
 from opalwick.protocol.clients import subject
 from opalwick.protocol.settings import flat, read_terms
 from opalwick.routing.reducer import Answer, Close, Datagram, Final, Reducer, Send, Timer, Watch
 from opalwick.transport.idle import IdleTime
+from opalwick.transport.pulse import Pulse
 
 START = 1000.0  # the reducers' clock when the day begins: nought means "never" to the module
 LONG_AGO = -1e9
--- a/opalwick/lab/verify/command.py
+++ b/opalwick/lab/verify/command.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import Annotated, Any, Optional
+from typing import Annotated, Any
 
 import typer
 
@@ -89,7 +89,7 @@
 def verify(
     as_json: Annotated[bool, typer.Option("--json", help="The report as the last line.")] = False,
     part: Annotated[
-        Optional[list[str]], typer.Option(metavar="NAME", help=f"Of {', '.join(NAMES)}; else all.")
+        list[str] | None, typer.Option(metavar="NAME", help=f"Of {', '.join(NAMES)}; else all.")
     ] = None,
     share: Annotated[
         float, typer.Option(help="Of the states of a case that is cut off: 0.1 is a quick look.")
--- a/opalwick/lab/verify/copying.py
+++ b/opalwick/lab/verify/copying.py
@@ -10,7 +10,7 @@
 from collections import deque
 from collections.abc import Iterable
 from enum import Enum
-from functools import lru_cache
+from functools import cache
 from typing import Any
 
 from google.protobuf.message import Message
@@ -27,12 +27,12 @@
 ORDERED = {"votes", "counters", "peers", "over"}
 
 
-@lru_cache(maxsize=None)
+@cache
 def fields(kind: Any) -> tuple[str, ...]:
     return tuple(name for base in kind.__mro__ for name in base.__dict__.get("__slots__", ()))
 
 
-@lru_cache(maxsize=None)
+@cache
 def plain(kind: Any, shared: tuple[type, ...]) -> bool:
     """Whether such a thing is never altered."""
     return kind in PLAIN or issubclass(kind, (Enum, *shared))
--- a/opalwick/lab/verify/depots.py
+++ b/opalwick/lab/verify/depots.py
@@ -20,8 +20,8 @@
 from opalwick.lab.verify.words import Said, packed, unpacked
 from opalwick.post.counter.desks import Desk, Waiting
 from opalwick.post.counter.role import Counter
-from opalwick.post.counter.routes import Routes
 from opalwick.post.counter.rounds import Start
+from opalwick.post.counter.routes import Routes
 from opalwick.post.depot.agent import load, on_disk
 from opalwick.post.depot.keeping import COMPLETE, Fetch, Write
 from opalwick.post.depot.role import Depot
--- a/opalwick/lab/verify/mutants.py
+++ b/opalwick/lab/verify/mutants.py
@@ -25,7 +25,6 @@
     TAKEN,
     TWO,
     UNHEARD,
-    Answer as Asking,
     Fence,
     Lease,
     Notice,
@@ -34,6 +33,9 @@
     lease,
     office,
 )
+from opalwick.lab.verify.parts import (
+    Answer as Asking,
+)
 from opalwick.post.counter import answers, ceilings, delivery
 from opalwick.post.counter import role as counter_role
 from opalwick.post.counter.ceilings import Ceilings
--- a/opalwick/lab/verify/offices.py
+++ b/opalwick/lab/verify/offices.py
@@ -12,6 +12,8 @@
 from operator import itemgetter
 from typing import Any, NamedTuple
 
+from google.protobuf.message import Message
+
 from opalwick.lab.verify.copying import Copier, Seen
 from opalwick.lab.verify.explorer import Broken, Step
 from opalwick.lab.verify.words import Said, packed, unpacked
@@ -20,7 +22,6 @@
 from opalwick.post.office.role import Office
 from opalwick.post.office.views import Key, Save, Stored, Views
 from opalwick.post.wire_pb2 import Conf, Hello, View
-from google.protobuf.message import Message
 
 NAMES = ("o1", "o2", "o3")
 COPIES = 2  # survive.boxes + 1, at the smallest system
--- a/opalwick/lab/world/world.py
+++ b/opalwick/lab/world/world.py
@@ -15,7 +15,6 @@
 from opalwick.lab.world.ways import Copies, Ways
 from opalwick.lab.world.worker import Marks, Worker
 
-
 AGAIN = 0.2  # seconds after which a connection says again what was lost, doubled each time: Linux' least
 LOST_MOST = 3.0 * AGAIN  # by two in a row; a third one, at usual shares one in some hundred, is passed over
 
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -42,7 +42,8 @@
 from opalwick.protocol.clients import Call, Conversation
 from opalwick.protocol.figures import Counts
 from opalwick.protocol.settings import flat, read_names, read_terms
-from opalwick.routing.reducer import Answer, Effect as Asked, Reducer
+from opalwick.routing.reducer import Answer, Reducer
+from opalwick.routing.reducer import Effect as Asked
 from opalwick.transport.connection import Connection
 from opalwick.transport.limits import Limits, within
 from opalwick.transport.pulse import Pulse
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -109,7 +109,7 @@
         client.say(post(body=b"", Content_Length="60000000"))
         count = 0
         try:
-            for count in range(1, 9):
+            for count in range(1, 9):  # noqa: B007 - what it came to is returned
                 client.say(b"x" * 60000)
                 gevent.sleep(0.03)
         except OSError:  # reset
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from helper import Bench
+
 from opalwick.interface import ListForm, Outcome, Phase
 
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -391,8 +391,8 @@
                 id = re.search(rb"X-Correlation-Id: (\w+)", data)[1].decode()
                 self.heard.append(id)
                 told = chunked(
-                    '{"id":"%s","state":"started"}' % id,
-                    '{"id":"%s","state":"done","result":"%s"}' % (id, id),
+                    f'{{"id":"{id}","state":"started"}}',
+                    f'{{"id":"{id}","state":"done","result":"{id}"}}',
                 )
                 started, done = told.split(b"}\n", 1)
                 sock.sendall(started + b"}\n")
--- a/tests/test_lab_commands.py
+++ b/tests/test_lab_commands.py
@@ -10,9 +10,9 @@
 from lab_days import FLEET
 from typer.testing import CliRunner
 
+from opalwick.commands import app
 from opalwick.lab.experiment import interval, read_sweep, sweep
 from opalwick.lab.ledger import unpack
-from opalwick.commands import app
 
 SHORT = FLEET.replace('"8 s"', '"2 s"')
 
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -10,12 +10,12 @@
 from gevent import socket
 from lab_days import day
 
+from opalwick.checked import Seconds
 from opalwick.lab.experiment import judged
 from opalwick.lab.sockets.clock import RealAgenda
 from opalwick.lab.sockets.relays import TcpRelay, Way, Words
 from opalwick.lab.sockets.stage import play
 from opalwick.lab.sockets.wire import HOST, free_port, listener
-from opalwick.checked import Seconds
 
 
 class Echo:
--- a/tests/test_lab_world.py
+++ b/tests/test_lab_world.py
@@ -18,8 +18,8 @@
 from opalwick.lab.kinds import KINDS
 from opalwick.lab.ledger import pack
 from opalwick.lab.virtual import play
-from opalwick.lab.world.world import World
 from opalwick.lab.world.worker import Job
+from opalwick.lab.world.world import World
 
 
 def octets(seed: int) -> bytes:
--- a/tests/test_post_commands.py
+++ b/tests/test_post_commands.py
@@ -391,7 +391,7 @@
         running = gevent.spawn(operators.accept)
         gevent.sleep(0)
 
-        def call(path: str) -> tuple[int, Any]:
+        def call(path: str, operators: Any = operators) -> tuple[int, Any]:
             return gevent.get_hub().threadpool.apply(ask, (operators.place, path))
 
         status, told = call("/status")
--- a/tests/test_post_disk.py
+++ b/tests/test_post_disk.py
@@ -9,7 +9,6 @@
 from tempfile import TemporaryDirectory
 
 import pytest
-
 from test_post_roles import SETTINGS
 
 from opalwick.post.depot.agent import opened
--- a/tests/test_post_home.py
+++ b/tests/test_post_home.py
@@ -5,6 +5,7 @@
 
 import hashlib
 import json
+import sqlite3
 from types import SimpleNamespace
 from typing import Any
 
@@ -365,7 +366,7 @@
     assert audit.rows(disk.db) == []
     keep = ("keep", ("m1", b"", 0.0, 0.0, 0, 0))
     disk.commit([keep, ("audit", (60, "jo", "copies", "jo")), ("audit", (60, "jo", "copies", "jo"))])
-    with pytest.raises(Exception):
+    with pytest.raises(sqlite3.ProgrammingError):
         disk.commit([("audit", (60, "jo", "runs", "jo")), ("keep", ("m2",))])
     disk.close()
     again = Disk(str(tmp_path))
--- a/tests/test_post_safety.py
+++ b/tests/test_post_safety.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Sequence
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -164,7 +165,7 @@
     return o, links
 
 
-def pass_time(o: Office, until: float, links: list[Spy] = []) -> None:
+def pass_time(o: Office, until: float, links: Sequence[Spy] = ()) -> None:
     while o.now < until:
         o.clock(round(o.now + 0.05, 3))
         for link in links:
--- a/tests/test_processor.py
+++ b/tests/test_processor.py
@@ -14,7 +14,8 @@
 class Proxies:
     """An exchange with its reducer, and calls by name; what they are told is the trace."""
 
-    def __init__(self, workers: str = "AB", proxy: Proxy = Proxy(), most: int = 100, **changes) -> None:
+    def __init__(self, workers: str = "AB", proxy: Proxy | None = None, most: int = 100, **changes) -> None:
+        proxy = Proxy() if proxy is None else proxy
         self.terms = read_terms(settings(**changes))
         self.terms.may_cancel = False
         if not proxy.retries:
--- a/tests/test_processor_grpc.py
+++ b/tests/test_processor_grpc.py
@@ -15,10 +15,10 @@
 from pathlib import Path
 
 import grpc as grpcio
-import hpack
 import h2.config
 import h2.connection
 import h2.events
+import hpack
 import pytest
 from envoy.service.ext_proc.v3 import external_processor_pb2 as ext_proc
 from helper import SETTINGS
@@ -43,7 +43,8 @@
 class Pair:
     """A server and an h2 client on bytes."""
 
-    def __init__(self, bounds: Bounds = Bounds(), client_window: int | None = None) -> None:
+    def __init__(self, bounds: Bounds | None = None, client_window: int | None = None) -> None:
+        bounds = Bounds() if bounds is None else bounds
         self.server = GrpcServer(bounds)
         self.client = h2.connection.H2Connection(h2.config.H2Configuration(header_encoding="utf-8"))
         self.client.initiate_connection()
@@ -453,10 +454,11 @@
 
 
 def test_rules_name_the_category_by_any_field() -> None:
+    import tempfile
+
     from opalwick.processor.configuration import Fields, File, Rule, Settings
     from opalwick.processor.messages import Refused, asked
     from opalwick.program.configuration import read as read_scheduler
-    import tempfile
 
     with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
         json.dump({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS}, file)
--- a/tests/test_sight.py
+++ b/tests/test_sight.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from helper import START, Bench, category
+
 from opalwick.interface import Customer, Effect, Group, ListForm, Outcome, Phase, Reports
 
 
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from helper import START, Bench, category
+
 from opalwick.interface import ListForm, Phase
 
 FLEET = "".join(chr(code) for code in range(0x100, 0x150))
--- a/tests/test_subjects.py
+++ b/tests/test_subjects.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 from helper import Bench, category
+
 from opalwick.interface import ListForm, Phase
 
 FLEET = "ABCDEFGHIJKLMNOPQR"
