--- a/opalwick/post/counter/rounds.py
+++ b/opalwick/post/counter/rounds.py
@@ -467,6 +467,8 @@
         assert item.route is not None
         item.attempt += 1
         item.given_up = False
+        if desk.service.rate <= 0.0:  # a permit that it had elsewhere binds no more
+            item.use_by = math.inf
         key = item.mid, item.attempt
         self.carry_out(
             desk,
--- a/tests/test_post_rounds.py
+++ b/tests/test_post_rounds.py
@@ -330,3 +330,26 @@
         p.play(f"{p.now + 0.2} c1 permits slow 9")
     ends = [w.mid for _, node, kind, w in p.said if kind == "end" and node == "d1"]
     assert sorted(ends) == sorted(f"m{n}" for n in range(60)) and not p.r.items
+
+
+@pytest.mark.parametrize("waits", [True, False])
+def test_a_message_follows_its_route_from_a_ceiling_to_another_service(waits: bool) -> None:
+    """Found by the lab's storm: it stayed in the queue of the ceiling; and one that had failed there kept the
+    time by which its permit was to be used, so that nothing was sent any more."""
+    p = Rounding()
+    p.play("0.10 m will FAILED DONE; c1 takes m slow")
+    if not waits:
+        p.play("0.20 c1 permits slow 1")
+        p.until(0.31)
+        assert [worker for *_, worker in p.starts] == ["w3"]
+    moved = conf(2, "plain", "slow")
+    moved.routes[1].svc = "plain"
+    p.until(0.8)
+    p.r.configured(moved)
+    p.until(0.85)
+    [(_, order)] = p.out
+    assert (
+        order.place[2] in ("w1", "w2") and order.item.use_by > p.now
+    )  # else it is not sent when it comes to it
+    p.until(1.5)
+    assert not p.r.items
