--- a/opalwick/lab/post/home_judge.py
+++ b/opalwick/lab/post/home_judge.py
@@ -10,7 +10,9 @@
 from collections import defaultdict
 from typing import Any
 
-from opalwick.lab.post.judge import INF, PROMISES, Judge, Try
+from opalwick.lab.post.history import INF, Try
+from opalwick.lab.post.judge import Judge
+from opalwick.lab.post.rules_messages import PROMISES
 
 TAKEN = 0.08  # s within which a 202 is wanted
 AIM = 0.6  # s within which a run begins after it is due, as the report's `late` has it
--- a/opalwick/lab/post/judge.py
+++ b/opalwick/lab/post/judge.py
@@ -4,14 +4,12 @@
 
 from typing import Any
 
-from opalwick.lab.post.history import INF, Breach, History, Run, Spell, Try
+from opalwick.lab.post.history import INF, Try
 from opalwick.lab.post.rules_configuration import ConfigurationRules
 from opalwick.lab.post.rules_control import ControlRules
-from opalwick.lab.post.rules_messages import PROMISES, MessageRules
+from opalwick.lab.post.rules_messages import MessageRules
 from opalwick.lab.post.rules_recovery import RecoveryRules
 
-__all__ = ["INF", "PROMISES", "Breach", "History", "Judge", "Run", "Spell", "Try", "judge"]
-
 
 class Judge(MessageRules, ConfigurationRules, ControlRules, RecoveryRules):
     """A day's history with all rules."""
