Sight: trace events of single messages, and what was sent to a worker again and why

No decision changes.

Test: the tests of the catalogue and of the command; the test of the catalogue now also asks that exactly the unbounded events are of the level trace.

--- a/opalwick/post/__main__.py
+++ b/opalwick/post/__main__.py
@@ -1,4 +1,7 @@
-"""The two programs: `python -m opalwick.post carrier counter|depot`, `python -m opalwick.post postmaster`."""
+"""The two programs: `python -m opalwick.post carrier counter|depot`, `python -m opalwick.post postmaster`.
+
+With `--trace` behind it a process writes events of single messages as well (`docs/operate/events.md`).
+"""
 
 from __future__ import annotations
 
@@ -24,7 +27,10 @@
     except Faulty as problem:
         print(problem, file=sys.stderr)
         return 2
-    events.begin()
+    traced = arguments[-1:] == ["--trace"]
+    events.begin(traced)
+    if traced:
+        arguments = arguments[:-1]
     stop, again = Event(), Event()
     for number, event in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGHUP, again)):
         gevent.signal_handler(number, event.set)
@@ -42,7 +48,7 @@
 
         OfficeShell(settings, Process(stop, again, path)).serve()
     else:
-        print("usage: opalwick.post carrier counter | carrier depot | postmaster", file=sys.stderr)
+        print("usage: opalwick.post carrier counter | carrier depot | postmaster [--trace]", file=sys.stderr)
         return 2
     events.say(902)
     return 0
--- a/opalwick/post/commands.py
+++ b/opalwick/post/commands.py
@@ -9,6 +9,7 @@
 import json
 import re
 import sys
+from pathlib import Path
 from typing import Any
 from urllib.parse import quote
 
@@ -462,6 +463,39 @@
     return 0 if all(line.ok for line in lines) else NO
 
 
+@app.command
+def runs(*logs: str, most: int = 20) -> int:
+    """Which messages were sent to a worker again, and why, from the logs of processes started with --trace.
+
+    Exit code 1 where one was sent again after a success that was read.
+
+    Parameters
+    ----------
+    logs
+        A file for each process; or one of all, with the process' name before each line.
+    most
+        Repeats that are shown of each cause.
+    """
+    from opalwick.post.runs import Cause, Event, read_events, repeats
+
+    if not logs:
+        raise Problem("no log is given")
+    events = list[Event]()
+    for name in logs:
+        try:
+            with open(name, errors="replace") as log:
+                events += read_events(log, Path(name).stem)
+        except OSError as problem:
+            raise Problem(f"{name}: {problem.strerror}") from problem
+    found = repeats(events)
+    for cause in Cause:
+        of_cause = [repeat for repeat in found if repeat.cause is cause]
+        print(f"{len(of_cause)} {cause.value}")
+        for repeat in of_cause[:most]:
+            print(f"    {repeat}")
+    return NO if any(repeat.cause is Cause.READ_SUCCESS for repeat in found) else 0
+
+
 @app.command
 def replay(trace: str, /) -> int:
     """Plays a recorded trace through the state machines, and prints what each step returns, a line each.
--- a/opalwick/post/counter/role.py
+++ b/opalwick/post/counter/role.py
@@ -187,19 +187,25 @@
             case "kept":
                 self.intake.kept(node, word.mid, word.refused)
             case "ended":
+                self.trace(154, message=word.mid, by=node)
                 self.rounds.has_end(node, word.mid)
             case "end":
+                self.trace(155, message=word.mid, by=node, seal=word.seal)
                 self.rounds.ended_elsewhere(word.mid)
             case "assign" if word.letter.home and self.guard.home(word.letter) != self.guard.here:
                 link.say("refuse", Refuse(mid=word.letter.mid, claim=word.letter.claim))
             case "assign":
+                self.trace(153, message=word.letter.mid, by=node, claim=word.letter.claim)
                 self.rounds.assigned(node, word.letter)
             case "checked":
+                if word.gone:
+                    self.trace(156, messages=" ".join(word.gone), by=node)
                 self.rounds.taken_away(node, list(word.gone))
                 if word.number == self.rounds.numbers.get(node):
                     # said while words were late it proves nothing; once they are not it is asked for again
                     (self.sure if self.fresh(node) else self.stale).add(node)
             case "holders":
+                self.trace(157, message=word.mid, by=node, holders=",".join(word.holders))
                 self.rounds.moved(word.mid, tuple(word.holders))
             case "told":
                 self.told_back(word)
@@ -432,9 +438,8 @@
             for node, kind, word in sends:
                 self.call_on(node, kind, word)
             for order in orders:
-                if isinstance(order, Start) and order.away:
-                    self.counts["away"] += 1
-                    self.counts["away_octets"] += len(order.item.letter.body)
+                if isinstance(order, Start):
+                    self.started(order)
             self.orders += orders
             to, permitted = self.ceilings.effects()
             for node, kind, word in to:
@@ -444,9 +449,36 @@
             if not (accepted or permitted or barred):
                 break
 
+    def started(self, order: Start) -> None:
+        """A delivery is about to go out."""
+        item = order.item
+        if order.away:
+            self.counts["away"] += 1
+            self.counts["away_octets"] += len(item.letter.body)
+        self.trace(
+            151,
+            message=item.mid,
+            request=item.letter.rid,
+            claim=item.claim,
+            attempt=item.attempt,
+            delivery=order.number,
+            worker=order.place[2] or order.place[0],
+        )
+
     def ended(self, order: Start, verdict: Verdict, seal: str, load: Load | None, kept: bool) -> None:
         """How a delivery ended."""
         item = order.item
+        self.trace(
+            152,
+            message=item.mid,
+            attempt=item.attempt,
+            delivery=order.number,
+            verdict=verdict.name,
+            seal=seal,
+            over=item.over,
+            foreign=item.foreign,
+            holders=",".join(item.touched),
+        )
         if item.letter.home and verdict.ran and not item.over:
             self.short.ended(self.rounds.whose(item), self.now)
             item.ran = item.sent.get(order.number, "")
--- a/opalwick/post/depot/keeping.py
+++ b/opalwick/post/depot/keeping.py
@@ -12,6 +12,7 @@
 
 import heapq
 import math
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 from opalwick.post.depot.moving import Moving
@@ -69,6 +70,7 @@
         "asked_at",
         "size",
         "home",
+        "freed_by",
     )
 
     def __init__(
@@ -88,6 +90,7 @@
         self.claim, self.owner, self.fails, self.lost = 0, "", fails, lost
         self.taken = 0  # who has a number under this lost it by its silence
         self.asked_at = 0.0  # when it was assigned to its owner, which has not said that it has it
+        self.freed_by = ""  # why it has no owner, as traces tell it; empty: it never had one here
 
 
 class Write(NamedTuple):
@@ -167,6 +170,9 @@
         self.seal = Seal()  # once nothing is to be kept here any more
         self.moving = Moving(self, copies, spread)
         self.figures = {"kept": 0, "ended": 0, "assigned": 0, "lapsed": 0, "handed": 0, "refused": 0}
+        self.trace: Callable[..., None] = lambda number, **fields: (
+            None
+        )  # of single messages; its role sets it
 
     def clock(self, now: float) -> None:
         self.now = now
@@ -209,7 +215,8 @@
         if not entry.owner:
             heapq.heappush(self.waiting, (entry.due, entry.mid))
 
-    def own(self, entry: Entry, who: str) -> None:
+    def own(self, entry: Entry, who: str, why: str = "") -> None:
+        """`why`: the word or finding by which it has no owner any more."""
         entry.asked_at = 0.0
         if entry.owner == who:
             return
@@ -219,6 +226,7 @@
         if who:
             self.owned.setdefault(who, set()).add(entry.mid)
         else:
+            entry.freed_by = why
             heapq.heappush(self.waiting, (entry.due, entry.mid))
 
     # ---- counters
@@ -282,6 +290,7 @@
         for mid in sorted(mids):
             entry = self.entries[mid]
             entry.owner, entry.asked_at = "", 0.0
+            entry.freed_by = "silent" if silent else "restarted"
             heapq.heappush(self.waiting, (entry.due, mid))
             if silent:
                 entry.claim = entry.taken = entry.claim + 1
@@ -374,6 +383,7 @@
         self.unsynced.add(mid)
         heapq.heappush(self.expiry, (until, mid))
         self.figures["ended"] += 1
+        self.trace(353, message=mid, complete=complete, seal=seal, holders=",".join(holders))
         self.writes.append(Write("end", (mid, int(complete), seal, until, " ".join(holders)), then))
 
     def synced(self, writes: list[Write]) -> None:
@@ -416,7 +426,7 @@
         entry.due, entry.claim = self.now + word.due, max(entry.claim, word.claim)
         entry.fails, entry.lost = max(entry.fails, word.fails), max(entry.lost, word.lost)
         if entry.owner:
-            self.own(entry, "")
+            self.own(entry, "", "parked")
         else:
             heapq.heappush(self.waiting, (entry.due, entry.mid))
         self.writes.append(Write("tried", (entry.mid, entry.due, entry.fails, entry.lost)))
@@ -479,7 +489,7 @@
         """What it was taken to deliver and does not: its word of that was lost with a link."""
         for mid in sorted(self.owned.get(who, set()) - listed):
             if not self.entries[mid].asked_at:  # else it may not have heard of it yet
-                self.own(self.entries[mid], "")
+                self.own(self.entries[mid], "", "unlisted")
 
     def tell_gone(self, who: str, mid: str) -> None:
         node, _, life = who.rpartition("/")
@@ -493,7 +503,7 @@
             return
         if word.claim == entry.claim or not entry.asked_at:  # else it is of an assignment before this one
             entry.due = max(entry.due, self.now + 0.2)
-            self.own(entry, "")
+            self.own(entry, "", "refused")
 
     def holders(self, node: str, word: Holders) -> None:
         """Who keeps it, as the counter that took it says; who is not named drops it."""
@@ -776,6 +786,7 @@
         if why[0] == "assign":
             if (entry.owner, entry.claim) == why[1:]:
                 self.figures["assigned"] += 1
+                self.trace(352, message=mid, to=entry.owner, claim=entry.claim, why=entry.freed_by)
                 self.sends.append(Send(why[1].rpartition("/")[0], "assign", Assign(letter=letter)))
         elif why[0] == "hand":
             self.sends.append(Send(why[1], "hand", Hand(letters=[letter], owners=[entry.owner])))
--- a/opalwick/post/depot/role.py
+++ b/opalwick/post/depot/role.py
@@ -37,6 +37,7 @@
             settings.survive.boxes + 1,
             settings.survive.spread,
         )
+        self.keeping.trace = self.trace
         self.guard = Guard(self.zone, settings, self.directory, self.event)
         self.queue: list[Write | Fetch] = []
         self.disk_since: float | None = None  # when the batch that is on its way to the disk was taken
@@ -100,6 +101,7 @@
             case "hand", "depot":
                 k.hand(node, self.let_in(link, word))
             case (("keep" | "end" | "tried" | "park" | "mine" | "refuse" | "holders"), _):
+                self.trace_word(node, kind, word)
                 getattr(k, kind)(node, word)
             case "kept", "depot":
                 k.moving.kept(node, word.mid, word.refused)
@@ -110,6 +112,23 @@
             case _:
                 super().heard(link, kind, word)
 
+    def trace_word(self, node: str, kind: str, word: Any) -> None:
+        """What is heard of one message, and by whom it was delivered until then."""
+        if kind in ("keep", "mine", "tried"):
+            return
+        entry = self.keeping.entries.get(word.mid)
+        self.trace(
+            351,
+            message=word.mid,
+            heard=kind,
+            by=node,
+            claim=getattr(word, "claim", 0),
+            seal=getattr(word, "seal", ""),
+            owner=entry.owner if entry is not None else "",
+            known=entry.claim if entry is not None else -1,
+            ended=word.mid in self.keeping.ends,
+        )
+
     def let_in(self, link: Link, word: Hand) -> Hand:
         """Those of the copies that may be here."""
         kept = [letter for letter in word.letters if self.guard.takes(letter)]
--- a/opalwick/post/station.py
+++ b/opalwick/post/station.py
@@ -168,3 +168,7 @@
 
     def event(self, number: int, **fields: Any) -> None:
         events.say(number, **fields)
+
+    def trace(self, number: int, **fields: Any) -> None:
+        """An event of a single message; written only where these are asked for."""
+        events.trace(number, **fields)
--- a/tests/test_post_commands.py
+++ b/tests/test_post_commands.py
@@ -418,3 +418,34 @@
         operators.door.listener.close()
     with pytest.raises(commands.Problem, match=r"127.0.0.1:\d+: "):
         ask(operators.place, "/status")
+
+
+def trace(process: str, number: int, at: float, **fields: Any) -> str:
+    return f"{process} " + json.dumps(
+        {"message": "m", **fields, "timestamp": at, "message_type": f"post:{number}"}
+    )
+
+
+def test_repeats_are_told_by_cause_from_the_logs_of_all_processes(
+    tmp_path: Path, capsys: pytest.CaptureFixture
+) -> None:
+    first = {"attempt": 1, "delivery": 0}
+    log = tmp_path / "all.log"
+    lines = [
+        "a line that is no event",
+        trace("c1", 151, 1.0, **first),
+        trace("c1", 152, 1.1, **first, verdict="DONE"),
+        trace("d1", 352, 1.2, to="c2/7", claim=1, why="unlisted"),
+        trace("c2", 151, 1.3, **first),
+        trace("c2", 152, 1.4, **first, verdict="DONE"),
+    ]
+    log.write_text("\n".join([*lines, lines[1][:40]]))
+    assert run(["runs", str(log)]) == 1
+    told = capsys.readouterr().out
+    assert "1 after a success that was read\n" in told
+    assert "m: c1 read DONE at 1.100, c2 sent it +0.200 s from then (assigned by d1 as unlisted)" in told
+    log.write_text("\n".join(lines[:3]))
+    assert run(["runs", str(log)]) == 0
+    assert run(["runs", str(tmp_path / "none")]) == 2
+    assert "none: No such file" in capsys.readouterr().err
+    assert run(["runs"]) == 2
--- a/tests/test_post_events.py
+++ b/tests/test_post_events.py
@@ -32,7 +32,7 @@
     return [[cell.strip() for cell in row.strip("|").split("|")] for row in found]
 
 
-def said() -> dict[int, set[str]]:
+def said(sayers: tuple[str, ...] = ("events.say", "self.event", "self.trace")) -> dict[int, set[str]]:
     """Every number that the code says, with its fields; `*`: some that only the running process knows."""
     found: dict[int, set[str]] = {}
     for path in sorted((HERE / "opalwick" / "post").rglob("*.py")):
@@ -40,9 +40,9 @@
             if not isinstance(node, ast.Call) or not isinstance(node.func, ast.Attribute) or not node.args:
                 continue
             first, whose = node.args[0], ast.unparse(node.func)
-            if whose in ("events.say", "self.event"):
+            if whose in sayers:
                 fields = {keyword.arg or "*" for keyword in node.keywords}
-            elif whose.endswith("events.append") and isinstance(first, ast.Tuple):
+            elif "self.event" in sayers and whose.endswith("events.append") and isinstance(first, ast.Tuple):
                 first, given = first.elts
                 assert isinstance(given, ast.Dict)
                 fields = {ast.literal_eval(key) for key in given.keys if key is not None}
@@ -59,7 +59,10 @@
         for number, _, _, fields, _ in rows("events.md", r"\d{3}")
     }
     assert said() == told
-    assert {row[1] for row in rows("events.md", r"\d{3}")} <= {"info", "warning", "error"}
+    assert {row[1] for row in rows("events.md", r"\d{3}")} <= {"info", "warning", "error", "trace"}
+    # only what nobody asked for is unbounded, and so of the level trace
+    traced = {int(row[0]) for row in rows("events.md", r"\d{3}") if row[1] == "trace"}
+    assert said(("self.trace",)).keys() == traced
 
 
 @pytest.mark.parametrize("role", ROLES)
