--- /dev/null
+++ b/tests/test_post_twice.py
@@ -0,0 +1,72 @@
+"""A message whose success was read, or whose delivery is out, is not begun by anybody that could know.
+
+Each of these was found or refuted by `docs/incidents/twice-after-a-read-success.md`.
+"""
+
+from __future__ import annotations
+
+import pytest
+from post_cluster import Cluster
+
+
+def test_a_list_of_deliveries_is_not_overtaken_by_what_was_accepted_after_it() -> None:
+    """The list was made as the first echo was heard and said with the next words, after those of a request that
+    came in between. The depots gave that message to another counter, and both delivered it."""
+    cluster = Cluster(counters=2, depots=2)
+    cluster.start_counter("c3", 13)
+    cluster.read()  # the depots have heard c3, and have not said so yet
+    cluster.pulses()
+    cluster.read("c3")  # the first echo: a pulse, from which nothing follows before the next tick
+    counter = cluster.roles["c3"]
+    call = cluster.offer("c3")
+    mid = f"{counter.prefix}{counter.serial}"
+    cluster.read()
+    assert call.status == 202
+    cluster.run(1.0)
+    assert cluster.began[mid] == ["c3"]
+
+
+@pytest.mark.parametrize("moved", [False, True])
+def test_two_depots_that_do_not_hear_each_other_have_a_message_begun_once(moved: bool) -> None:
+    """Each of them acted, and gave it to another counter; both counters were linked to both depots. `moved`: one
+    of them had its copy made anew elsewhere, as the other was away for long."""
+    cluster = Cluster(counters=5, depots=3)
+    mid = cluster.accepted("c1", delay=14.0 if moved else 0.0)
+    cluster.run(0.1)
+    first, second = cluster.holders(mid)
+    for node in ("c1", "c3"):  # the two choose different counters
+        cluster.roles[second].keeping.counters[node].given = 19
+    cluster.part(first, second)
+    before = list(cluster.began[mid])
+    if not moved:
+        cluster.end("c1")  # with its delivery out: each depot gives the message to another at once
+    cluster.run(16.0)
+    assert cluster.began[mid][:-1] == before
+    cluster.out[mid] = cluster.out[mid][-1:]
+    cluster.answer(mid)
+    cluster.run(8.0)
+    assert cluster.began[mid][:-1] == before
+
+
+@pytest.mark.parametrize("again", [False, True])
+def test_an_end_that_one_holder_missed_reaches_it_before_the_other_is_stopped(again: bool) -> None:
+    """A counter that ended just after one of its links had broken left that depot without the end. Depots compared
+    what they keep only as a link between them came up; once the other was stopped by plan, it had the message
+    delivered again. `again`: the counter is started again at once."""
+    cluster = Cluster(counters=2, depots=3)
+    mid = cluster.accepted("c1")
+    cluster.run(0.1)
+    assert cluster.began[mid] == ["c1"]
+    first, second = cluster.holders(mid)
+    cluster.part("c1", second)
+    cluster.answer(mid)
+    cluster.read()
+    cluster.end("c1")
+    if again:
+        cluster.start_counter("c1", 11)
+    cluster.run(4.0)
+    cluster.roles[first].leave()
+    cluster.run(0.5)
+    cluster.end(first)
+    cluster.run(4.0)
+    assert cluster.began[mid] == ["c1"]
