Mend: a list of deliveries is as new as the words before it; who begins asks all that keep

Cause (docs/incidents/twice-after-a-read-success.md): what one process knows of a message was taken for what all know. 1. A gateway's whole list of what it delivers was made as a store's echo was heard and said behind words of messages that it did not name; the store gave those to another gateway. 2. A gateway began what one store gave it, whatever the others that keep the message knew: another deliverer, or its end. 3. Stores compared what they keep only as a link between them came up, so that an end that one of them missed stayed missed until the other was stopped.

The list is made as it is said, behind all else. A store that takes a message away as unlisted tells the gateway, which heeds that for messages still on their way to be kept as well. A list that had to wait at a store takes nothing back into a gateway's hands. 2. A gateway that is given a message asks all others that keep it and are in touch, and begins once they have agreed (Mine.ask, Checked.agreed). A deliverer that is heard stays, whatever number another was given; what is refused is given anew after a pause that differs from store to store. Its end goes to all that ever were named as keeping it. 3. A store asks the others that keep a message whether it has ended as soon as its deliverer is gone, and each second of those overdue by 3 s; an end heard from a gateway that is not the deliverer is passed on; a copy that was on its way as the message ended is told. An end that comes from another store is kept as long as a copy may wait. A gateway that ends waits 1.5 s for stores without a link. Of two links that one process dialled the older one is closed.

--- a/opalwick/lab/verify/mutants.py
+++ b/opalwick/lab/verify/mutants.py
@@ -363,6 +363,8 @@
         lapsed(self, who)
 
     patch(Keeping, "lapsed", alone)
+    # a counter that asked the other depot first would be told by it whose the message is
+    patch(Counter, "awaits", lambda self, node, item: False)
 
 
 @mutant("fence", depot(Fence(time=6, cut=1, turns=0), *KEPT), "two deliverers")
--- a/opalwick/post/counter/intake.py
+++ b/opalwick/post/counter/intake.py
@@ -8,11 +8,12 @@
 
 import heapq
 import zlib
+from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from opalwick.post.home.policy import Policy
 from opalwick.post.names import shown
-from opalwick.post.wire_pb2 import Holders, Keep, Letter
+from opalwick.post.wire_pb2 import Holders, Keep, Letter, Refuse
 
 HEDGE = 0.04  # s until one more depot is asked: half of the shortest aim, several syncs and trips
 GIVE_UP = 0.4  # s until a client is told that nobody knows: within the shortest deadline of 0.5
@@ -44,10 +45,11 @@
 
 
 class Wait:
-    __slots__ = ("call", "letter", "parked", "asked", "kept", "full", "began", "hedged")
+    __slots__ = ("call", "letter", "parked", "asked", "kept", "full", "began", "hedged", "taken_away")
 
     def __init__(self, call: Any, letter: Letter, parked: bool, began: float) -> None:
         self.call, self.letter, self.parked, self.began, self.hedged = call, letter, parked, began, False
+        self.taken_away = False  # a depot has it delivered by another counter
         self.asked: list[str] = []
         self.kept: list[str] = []
         self.full: list[str] = []  # those that have no room for it
@@ -169,9 +171,22 @@
             self.told.append(Told(wait.call, 202, shown(mid, holders)))
             if not wait.parked:
                 self.accepted.append(Accepted(letter, touched))
+            if wait.taken_away:
+                self.taken_away([mid])
         elif len(wait.full) + len(wait.kept) == len(wait.asked) > self.copies - 1 and wait.full:
             self.refused(wait, "")
 
+    def taken_away(self, mids: Iterable[str]) -> None:
+        """These have another deliverer, says a depot: once they are accepted they are not delivered here."""
+        for mid in mids:
+            if (wait := self.waits.get(mid)) is not None:
+                wait.taken_away = True
+        for one in [one for one in self.accepted if one.letter.mid in mids]:
+            self.accepted.remove(one)
+            # those that take this counter for the deliverer must not wait for it
+            refuse = Refuse(mid=one.letter.mid, claim=one.letter.claim)
+            self.sends += [(node, "refuse", refuse) for node in one.touched]
+
     def late(self, node: str, mid: str, refused: bool) -> None:
         """It answers after the client was: it is told who keeps the message, and drops it if it does not."""
         found = self.over.get(mid)
--- a/opalwick/post/counter/role.py
+++ b/opalwick/post/counter/role.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import Any
 from zlib import crc32
 
@@ -39,6 +40,9 @@
 CALLED = 30.0  # s that a link to a depot that is not one of its own is kept after its last use
 UNSAID = 5.0  # s that words for such a one wait for the link: some dials
 UNSAIDS = 512  # words at most
+UNLINKED = 1.5  # s that a counter which ends waits for a depot without a link to hear the ends that it lacks
+LINKED = 0.5  # s that a depot which is linked and has not echoed yet is waited for: a pulse each way
+DIALLED = 0.3  # s that one that is not among its own is: a connection and a trip between regions, five times
 
 
 class AskBack:
@@ -68,6 +72,7 @@
         self.shares = Holding(self.rounds)
         self.heard_here: dict[str, float] = {}  # by a depot's echo: when it had heard this counter, at least
         self.sure = set[str]()  # depots that have since said whose its messages are
+        self.untold: dict[str, None] = {}  # depots that are to be told of all that is delivered here
         self.guard = Guard(self.zone, settings, self.directory, self.event)
         self.short, self.counted_at = Short(now), -1e9
         self.abroad = self.turned_home = 0  # refused: not at home here; home is short
@@ -80,6 +85,7 @@
         self.serial = self.heavy = 0
         self.confirmed = self.leaving = self.closing = False
         self.left_at = 0.0  # when it was told to end
+        self.parked_at = math.inf  # when it gave back first what it held
         self.sweep_at = now
         self.prefix = f"{tag(self.node)}.{short(life)}."
         self.counts = {"asked_back": 0, "no_route": 0, "away": 0, "away_octets": 0}
@@ -112,7 +118,20 @@
         since any time at which they may have, have said whose it is.
         """
         fresh = [node for node in item.touched if self.fresh(node)]
-        return bool(fresh) and all(node in self.sure for node in fresh)
+        if not fresh or not all(node in self.sure for node in fresh):
+            return False
+        return not any(self.awaits(node, item) for node in item.awaited)
+
+    def awaits(self, node: str, item: Item) -> bool:
+        """Whether that depot, which keeps a message and has not agreed that it is delivered here, is still
+        asked. One that is out of touch is not waited for.
+        """
+        if self.fresh(node):
+            return True
+        since = self.now - item.since
+        if node in self.links:  # it may have been linked just now
+            return since < LINKED
+        return node not in self.mine and node in self.called and since < DIALLED
 
     def fresh(self, node: str) -> bool:
         return self.now - self.heard_here.get(node, -1e9) < LAPSE - MARGIN
@@ -127,7 +146,7 @@
             # so long a gap that the depot may have had its messages delivered by others
             self.sure.discard(node)
             self.stale.discard(node)
-            self.rounds.depot_up(node, self.intake.under_way(node))
+            self.untold[node] = None
 
     # ---- links
 
@@ -135,7 +154,8 @@
         if link.peer.role == "depot":
             node = link.peer.node
             self.intake.depot_up(node, link.peer.zone)
-            self.rounds.depot_up(node, self.intake.under_way(node))
+            self.rounds.depot_up(node)
+            self.untold[node] = None
             for at, kind, word in self.unsaid.pop(node, ()):
                 if self.now - at < UNSAID:
                     link.say(kind, word)
@@ -200,8 +220,10 @@
             case "checked":
                 if word.gone:
                     self.trace(156, messages=" ".join(word.gone), by=node)
+                self.intake.taken_away(word.gone)
                 self.rounds.taken_away(node, list(word.gone))
-                if word.number == self.rounds.numbers.get(node):
+                self.rounds.agreed(node, word.agreed)
+                if node not in self.untold and word.number == self.rounds.numbers.get(node):
                     # said while words were late it proves nothing; once they are not it is asked for again
                     (self.sure if self.fresh(node) else self.stale).add(node)
             case "holders":
@@ -448,6 +470,16 @@
                 self.rounds.permitted(svc, count)
             if not (accepted or permitted or barred):
                 break
+        self.tell_deliveries()
+
+    def tell_deliveries(self) -> None:
+        """Depots that were just linked, or heard this counter again, are told all that it delivers. The list
+        is made as it is said, behind all words that were left before: one that is older than a `keep` said
+        ahead of it does not name that message, and the depot would take it for one that was let go.
+        """
+        for node in self.untold:
+            self.say(node, "mine", self.rounds.deliveries_of(node, self.intake.under_way(node)))
+        self.untold.clear()
 
     def started(self, order: Start) -> None:
         """A delivery is about to go out."""
@@ -541,6 +573,8 @@
         after = min(AFTER, 0.4 * self.settings.bounds.grace)
         self.closing = self.now - self.left_at >= after
         if self.now - self.left_at >= after + CLOSE:
+            if not self.rounds.leaving:
+                self.parked_at = self.now
             self.rounds.leaving = True
             self.rounds.park_all()
 
@@ -550,6 +584,8 @@
         if not self.rounds.leaving:
             return False
         linked = {link.peer.node for link in self.of("depot")}
+        if self.now - self.parked_at < UNLINKED:  # others may be linked again by then
+            linked |= {depot.node for depot in self.nodes("depot")}
         return (
             not self.rounds.items
             and not self.intake.waits
--- a/opalwick/post/counter/rounds.py
+++ b/opalwick/post/counter/rounds.py
@@ -27,6 +27,7 @@
 PARK = 2.0  # s: what is due later waits at its depots, not here
 AGAIN = 0.02  # s until the first further attempt: what fails at once mostly fails for the message's own sake
 LONGEST = 2.0  # s between attempts at most; then doubled no more
+UNAGREED = 0.05  # s between looks at what waits for depots to agree: as the role looks at the time
 REMEMBER = 30.0  # s that an end is remembered here: an assignment said again is still on its way no longer
 
 
@@ -71,6 +72,8 @@
         "sent",
         "ran",
         "use_by",
+        "awaited",
+        "since",
     )
 
     def __init__(self, letter: Letter, touched: tuple[str, ...], now: float) -> None:
@@ -83,6 +86,8 @@
         self.over = self.given_up = self.queued = False
         self.use_by = math.inf  # when its permit is over, where it needs one
         self.foreign = False  # another delivers it by now: no further attempt here
+        self.awaited = set[str]()  # depots that keep it and have not agreed that it is delivered here
+        self.since = now  # when it came here
         self.dated = False  # it has its turn in `due`
         self.route: Route | None = None
         self.svc = ""  # the desk's name
@@ -106,6 +111,8 @@
         self.may_send = may_send
         self.items: dict[str, Item] = {}
         self.due: list[tuple[float, int, Item]] = []
+        self.unagreed: dict[str, Item] = {}  # those whose turn it is, but for depots that have not agreed
+        self.look_at = 0.0  # when those are looked at again, as a depot may be out of touch by then
         self.serial = 0
         self.routes: Routes | None = None
         self.desks: dict[str, Desk] = {}
@@ -313,10 +320,14 @@
     def assigned(self, node: str, letter: Letter) -> None:
         """A depot has it delivered here."""
         mid = letter.mid
+        holders = dict.fromkeys((node, *letter.holders))
+        others = set(holders) - {node}
         if (known := self.items.get(mid)) is not None:
             known.claim = max(known.claim, letter.claim)
+            # who keeps it may have changed; its end is for all that ever did
+            known.touched = tuple(dict.fromkeys((*known.touched, *holders)))
             if known.foreign:  # it comes back while a delivery of it is on its way
-                known.foreign = False
+                known.foreign, known.awaited, known.since = False, others, self.now
         elif (found := self.ended.get(mid)) is not None:
             if found[1] is not None:
                 self.sends.append((node, "end", found[1]))
@@ -325,9 +336,35 @@
             self.sends.append((node, "refuse", Refuse(mid=mid, claim=letter.claim)))
             return
         else:
-            self.take(Item(letter, tuple(letter.holders), self.now))
-        for holder in dict.fromkeys((node, *letter.holders)):
-            self.sends.append((holder, "mine", Mine(mids=[mid], claims=[letter.claim])))
+            known = Item(letter, tuple(holders), self.now)
+            known.awaited = others
+            self.take(known)
+        for holder in holders:
+            ask = holder in known.awaited
+            self.sends.append((holder, "mine", Mine(mids=[mid], claims=[letter.claim], ask=ask)))
+
+    def agreed(self, node: str, mids: Iterable[str]) -> None:
+        """A depot knows no end of these and no other deliverer."""
+        for mid in mids:
+            if (item := self.items.get(mid)) is not None:
+                item.awaited.discard(node)
+                if not item.awaited and self.unagreed.pop(mid, None) is not None:
+                    self.at(self.now, item)
+
+    def ask_again(self, node: str) -> None:
+        """That depot's answers may have been lost with a link."""
+        asked = [item for item in self.items.values() if node in item.awaited and not item.foreign]
+        if asked:
+            word = Mine(mids=[i.mid for i in asked], claims=[i.claim for i in asked], ask=True)
+            self.sends.append((node, "mine", word))
+
+    def look_at_unagreed(self) -> None:
+        """Those begin whose depots that have not agreed are out of touch by now."""
+        self.look_at = self.now + UNAGREED
+        for mid, item in list(self.unagreed.items()):
+            if item.over or item.foreign or item.until <= self.now or self.may_send(item):
+                del self.unagreed[mid]
+                self.at(self.now, item)
 
     def take(self, item: Item) -> None:
         self.items[item.mid] = item
@@ -348,6 +385,8 @@
         return min(self.wake_at, self.due[0][0] if self.due else math.inf)
 
     def tick(self) -> None:
+        if self.unagreed and self.look_at <= self.now:
+            self.look_at_unagreed()
         while self.due and self.due[0][0] <= self.now:
             item = heapq.heappop(self.due)[2]
             item.dated = False
@@ -404,6 +443,9 @@
             return self.end(item, False, "")
         if letter.home not in ("", self.here):
             return self.park(item)
+        if item.awaited and not self.may_send(item):
+            self.unagreed[item.mid] = item
+            return None
         if self.routes is None or self.routes.gen < letter.gen or not self.may_send(item):
             return self.at(self.now + 0.1, item)
         if not self.routed(item):  # a configuration dropped its route
@@ -666,13 +708,19 @@
                 self.withdraw(item)
                 self.park(item)
 
-    def depot_up(self, node: str, under_way: Iterable[str] = ()) -> None:
-        """A depot is there again: what it does not have yet, and all that is delivered here. `under_way`:
-        messages that will be as soon as they are accepted.
+    def depot_up(self, node: str) -> None:
+        """A depot is there again: it is told the ends that it has not confirmed, and asked anew what it has
+        not answered.
         """
         for word, missing, _ in self.ending.values():
             if node in missing:
                 self.sends.append((node, "end", word))
+        self.ask_again(node)
+
+    def deliveries_of(self, node: str, under_way: Iterable[str] = ()) -> Mine:
+        """All that is delivered here of what that depot keeps, to be said at once. `under_way`: messages that
+        will be as soon as they are accepted.
+        """
         mine = [
             (item.mid, item.claim)
             for item in self.items.values()
@@ -680,10 +728,4 @@
         ]
         mine += [(mid, 0) for mid in under_way]
         self.numbers[node] = number = self.numbers.get(node, 0) + 1
-        self.sends.append(
-            (
-                node,
-                "mine",
-                Mine(mids=[mid for mid, _ in mine], claims=[c for _, c in mine], whole=True, number=number),
-            )
-        )
+        return Mine(mids=[mid for mid, _ in mine], claims=[c for _, c in mine], whole=True, number=number)
--- a/opalwick/post/depot/keeping.py
+++ b/opalwick/post/depot/keeping.py
@@ -12,7 +12,8 @@
 
 import heapq
 import math
-from collections.abc import Callable
+import zlib
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 from opalwick.post.depot.moving import Moving
@@ -48,7 +49,11 @@
 LEAD = 0.05  # s that a message is assigned before it is due: a trip and a sync
 STILL = 0.5  # s between two ticks after which this process stood still: ten times their distance
 BATCH = 500  # names in one word between depots
+REFUSED = 0.2  # s until what a counter has refused is given to another, by half more or less
 AGAIN = 0.6  # s until an assignment that was not acknowledged is said again, to the same counter
+OVERDUE = 3.0  # s after it was due that the other depots are asked whether a message has ended
+SCAN = 1.0  # s between looks for such ones
+SCANNED = 200  # messages looked at each time: some microseconds each
 STEP = 200  # messages assigned in one step, so that others get their turn
 
 UNKNOWN, PENDING, COMPLETE, DEAD, UNSURE = range(5)
@@ -154,6 +159,9 @@
         self.checks: dict[str, tuple[float, Mine]] = {}  # counter: since when it waits to be told, of what
         self.peers_ask: dict[str, list[str]] = {}  # depot: counter processes that it does not hear
         self.deaf: dict[str, float] = {}  # owners that are not heard here: asked for since
+        self.doubted: dict[str, None] = {}  # those whose end others may know: they lost who delivered them
+        self.scan_at = now
+        self.unscanned: list[str] = []  # names of entries that are still to be looked at
         self.waiting: list[tuple[float, str]] = []  # due, without an owner; may hold some that have one again
         self.expiry: list[tuple[float, str]] = []
         self.expected: set[str] | None = None  # counters and depots that are there, once an office has told
@@ -291,6 +299,7 @@
             entry = self.entries[mid]
             entry.owner, entry.asked_at = "", 0.0
             entry.freed_by = "silent" if silent else "restarted"
+            self.doubted[mid] = None
             heapq.heappush(self.waiting, (entry.due, mid))
             if silent:
                 entry.claim = entry.taken = entry.claim + 1
@@ -358,17 +367,33 @@
         if word.mid in self.ends:
             self.writes.append(Write("none", (), (said,)))
             return
-        entry = self.entries.get(word.mid)
-        self.finish(word.mid, word.complete, word.seal, said)
+        entry, counter = self.entries.get(word.mid), self.counters.get(node)
+        self.finish(word.mid, word.complete, word.seal, said, waits=word.until)
+        if entry is not None and counter is not None and entry.owner != owner(node, counter.life):
+            # that counter may not know all that keep it, or not reach them
+            self.tell_end(word.mid, [holder for holder in entry.holders if holder in self.peers])
         # one of its keepers notes a run
         if entry is not None and word.complete and self.node in entry.holders[:1]:
             self.noted(entry, "runs", word.country)
 
-    def finish(self, mid: str, complete: bool, seal: str, *then: tuple[str, str, Any]) -> None:
-        """It has ended, for ever: the first such word stands. Who delivers it is told, if another said so."""
+    def tell_end(self, mid: str, nodes: Iterable[str]) -> None:
+        for node in nodes:
+            self.send(node, "end", self.end_of(mid))
+
+    def end_of(self, mid: str) -> End:
+        """For other depots: with how long a copy of the message may wait anywhere."""
+        complete, seal, until, _ = self.ends[mid]
+        return End(mid=mid, complete=complete, seal=seal, until=max(0.0, until - self.now - self.state_s))
+
+    def finish(
+        self, mid: str, complete: bool, seal: str, *then: tuple[str, str, Any], waits: float = 0.0
+    ) -> None:
+        """It has ended, for ever: the first such word stands. Who delivers it is told, if another said so.
+        `waits`: seconds that a copy of it may wait elsewhere, by who told.
+        """
         entry = self.entries.pop(mid, None)
         # longer than any copy of it waits elsewhere, so that none begins anew
-        until = max(self.now, entry.until if entry is not None else self.now) + self.state_s
+        until = max(self.now + waits, entry.until if entry is not None else self.now) + self.state_s
         if entry is not None and entry.owner:
             self.owned.get(entry.owner, set()).discard(mid)
             deliverer = entry.owner.rpartition("/")[0]
@@ -445,8 +470,11 @@
             self.unlisted(owner(node, counter.life), set(word.mids))
             self.checks[node] = self.now, word
             self.check(node)
-        elif gone:
-            self.sends.append(Send(node, "checked", Checked(gone=gone, number=word.number)))
+        elif gone or word.ask:
+            agreed = (
+                [mid for mid in word.mids if mid not in self.ends and mid not in gone] if word.ask else []
+            )
+            self.sends.append(Send(node, "checked", Checked(gone=gone, number=word.number, agreed=agreed)))
 
     def check(self, node: str) -> None:
         """Answers what it delivers as a whole, once each depot in touch has echoed a later pulse of this one.
@@ -461,11 +489,13 @@
         ):
             return
         del self.checks[node]
-        gone = self.claimed(node, word)
+        gone = self.claimed(node, word, take=False)
         self.sends.append(Send(node, "checked", Checked(gone=gone, number=word.number)))
 
-    def claimed(self, node: str, word: Mine) -> list[str]:
-        """Those that are not its."""
+    def claimed(self, node: str, word: Mine, take: bool = True) -> list[str]:
+        """Those that are not its. `take`: of the others it is the deliverer from now on; not where the word
+        has lain here for a while, and the counter may have given back some of them since.
+        """
         who = owner(node, self.counters[node].life)
         gone: list[str] = []
         for mid, claim in zip(word.mids, word.claims):
@@ -474,13 +504,12 @@
                 if mid in self.ends:  # it has not heard that it ended
                     complete, seal, *_ = self.ends[mid]
                     self.sends.append(Send(node, "end", End(mid=mid, complete=complete, seal=seal)))
-            elif claim >= entry.taken and (
-                entry.owner in ("", who) or (-claim, who) < (-entry.claim, entry.owner)
-            ):
+            elif claim >= entry.taken and (entry.owner in ("", who) or not self.alive(entry.owner)):
                 if entry.owner not in ("", who):
                     self.tell_gone(entry.owner, mid)
-                entry.claim = max(entry.claim, claim)
-                self.own(entry, who)
+                if take or entry.owner:
+                    entry.claim = max(entry.claim, claim)
+                    self.own(entry, who)
             else:
                 gone.append(mid)
         return gone
@@ -490,6 +519,8 @@
         for mid in sorted(self.owned.get(who, set()) - listed):
             if not self.entries[mid].asked_at:  # else it may not have heard of it yet
                 self.own(self.entries[mid], "", "unlisted")
+                self.doubted[mid] = None
+                self.tell_gone(who, mid)  # should it have it all the same, it begins it no more
 
     def tell_gone(self, who: str, mid: str) -> None:
         node, _, life = who.rpartition("/")
@@ -502,9 +533,17 @@
         if entry is None or counter is None or entry.owner != owner(node, counter.life):
             return
         if word.claim == entry.claim or not entry.asked_at:  # else it is of an assignment before this one
-            entry.due = max(entry.due, self.now + 0.2)
+            entry.due = max(entry.due, self.now + self.pause(entry))
             self.own(entry, "", "refused")
 
+    def pause(self, entry: Entry) -> float:
+        """Seconds until a message that a counter has refused is given to another: other than those of the
+        other depots that keep it, or two that do not hear each other would have each other's counter refuse
+        for ever.
+        """
+        drawn = zlib.crc32(f"{entry.mid}/{entry.claim}/{self.node}".encode()) / 2**32
+        return REFUSED * (0.5 + drawn)
+
     def holders(self, node: str, word: Holders) -> None:
         """Who keeps it, as the counter that took it says; who is not named drops it."""
         entry = self.entries.get(word.mid)
@@ -574,11 +613,11 @@
 
     def have(self, node: str, word: Have) -> None:
         """What another depot keeps as pending that should be here as well."""
-        ends = [
-            End(mid=mid, complete=e[0], seal=e[1])
-            for mid in word.pending
-            if (e := self.ends.get(mid)) is not None
-        ]
+        ends = [self.end_of(mid) for mid in word.pending if mid in self.ends]
+        if word.ends:
+            if ends:
+                self.send(node, "differ", Differ(ends=ends))
+            return
         lack = [mid for mid in word.pending if mid not in self.ends and mid not in self.entries]
         drop = [
             mid
@@ -590,7 +629,7 @@
     def differ(self, node: str, word: Differ) -> None:
         for end in word.ends:
             if end.mid not in self.ends:
-                self.finish(end.mid, end.complete, end.seal)
+                self.finish(end.mid, end.complete, end.seal, waits=end.until)
         for mid in word.drop:
             if (entry := self.entries.get(mid)) is not None:
                 self.drop(entry)
@@ -600,6 +639,33 @@
         if word.last:
             self.awaits.discard(node)
 
+    def ask_about(self, mids: Iterable[str]) -> None:
+        """The other depots that keep these are asked what they know of them: one may have heard an end that
+        was lost on its way here.
+        """
+        asked: dict[str, list[str]] = {}
+        for mid in mids:
+            if (entry := self.entries.get(mid)) is not None:
+                for node in entry.holders:
+                    if node != self.node and node in self.peers:
+                        asked.setdefault(node, []).append(mid)
+        for node, pending in asked.items():
+            for at in range(0, len(pending), BATCH):
+                self.send(node, "have", Have(pending=pending[at : at + BATCH], ends=True))
+
+    def scan(self) -> None:
+        """Asks about some of those that should have ended by now, a part of all at a time."""
+        self.scan_at = self.now + SCAN
+        overdue: list[str] = []
+        if not self.unscanned:
+            self.unscanned = list(self.entries)
+        for mid in self.unscanned[-SCANNED:]:
+            entry = self.entries.get(mid)
+            if entry is not None and entry.due + OVERDUE <= self.now:
+                overdue.append(mid)
+        del self.unscanned[-SCANNED:]
+        self.ask_about(overdue)
+
     def rotten(self, mid: str) -> None:
         """Its octets here are not what was written: this copy is lost, and comes anew from the others."""
         entry = self.entries.get(mid)
@@ -617,8 +683,7 @@
             mid = letter.mid
             then = ((node, "kept", Kept(mid=mid)),) if word.answer else ()
             if mid in self.ends:
-                complete, seal, *_ = self.ends[mid]
-                self.send(node, "end", End(mid=mid, complete=complete, seal=seal))
+                self.tell_end(mid, [node])
             elif (known := self.entries.get(mid)) is not None:
                 known.holders = tuple(letter.holders)
                 if who and letter.claim >= known.claim and not known.owner:
@@ -691,6 +756,11 @@
                     self.lapsed(who, silent=True)
         for counter in list(self.checks):
             self.check(counter)
+        if self.doubted:
+            self.ask_about(self.doubted)
+            self.doubted.clear()
+        if self.settled and self.scan_at <= self.now:
+            self.scan()
         while self.expiry and self.expiry[0][0] <= self.now:
             self.expire(heapq.heappop(self.expiry)[1])
         if not self.leaving and not still:
--- a/opalwick/post/depot/moving.py
+++ b/opalwick/post/depot/moving.py
@@ -12,7 +12,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, Any
 
-from opalwick.post.wire_pb2 import End, Holders
+from opalwick.post.wire_pb2 import Holders
 
 if TYPE_CHECKING:
     from opalwick.post.depot.keeping import Entry, Keeping
@@ -53,9 +53,9 @@
         self.away_since.pop(node, None)
         known, self.disks[node] = self.disks.get(node), disk
         if known is not None and known != disk:  # it lost its disk: it has no end any more
-            for mid, (complete, seal, _, holders) in self.k.ends.items():
+            for mid, (*_, holders) in self.k.ends.items():
                 if node in holders:
-                    self.k.send(node, "end", End(mid=mid, complete=complete, seal=seal))
+                    self.k.tell_end(mid, [node])
 
     def down(self, node: str) -> None:
         self.away_since[node] = self.k.now
@@ -153,9 +153,7 @@
                 self.say_end(mid, targets)
 
     def say_end(self, mid: str, targets: Any) -> None:
-        complete, seal, *_ = self.k.ends[mid]
-        for node in targets:
-            self.k.send(node, "end", End(mid=mid, complete=complete, seal=seal))
+        self.k.tell_end(mid, targets)
 
     # ---- answers
 
@@ -170,6 +168,8 @@
         entry = self.k.entries.get(mid)
         if entry is not None and not refused:
             self.settle(entry, found[2])
+        elif mid in self.k.ends and not refused:  # it has ended while its copy was on its way
+            self.k.tell_end(mid, [node])
 
     def settle(self, entry: Entry, holders: tuple[str, ...]) -> None:
         """All who keep it, or did, and who delivers it, learn who does from now on."""
--- a/opalwick/post/link.py
+++ b/opalwick/post/link.py
@@ -123,10 +123,19 @@
         if kind == "hello":
             known, self.peer = self.peer, word
             if not known.node:
+                self.shell.close_older(self)
                 self.shell.guarded(self.role.joined, self)
         elif self.peer.node:
             self.shell.guarded(self.role.hear, self, kind, word)
 
+    def is_older(self, newer: Link) -> bool:
+        """Whether the same process has dialled anew: it has given this one up, and what still lies unread
+        here was said before all that comes on the newer one.
+        """
+        one, other = self.peer, newer.peer
+        dialled_here = self.place is None and newer.place is None
+        return self is not newer and dialled_here and (one.node, one.life) == (other.node, other.life)
+
     def close(self) -> None:
         if not self.over:
             self.over = True
@@ -224,6 +233,13 @@
         gevent.spawn(link.write)
         link.read()
 
+    def close_older(self, newer: Link) -> None:
+        """Words of one process are read in their order: nothing of a link that it has given up after those of
+        the next.
+        """
+        for link in [link for link in self.all if link.is_older(newer)]:
+            link.close()
+
     def listen(self) -> None:
         """Runs in a greenlet of its own."""
         listener = listening((self.role.ip, self.role.port), 256)
--- a/tests/test_post_keeping.py
+++ b/tests/test_post_keeping.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from post_helper import Player, letter, word
 
 from opalwick.post.depot.keeping import LAPSE, STILL, Fetch, Keeping, Write
@@ -159,20 +160,34 @@
     assert 5.0 < at < 5.2 + LAPSE and who == "c2" and list(d.said[-1][3].gone) == ["m2"]
 
 
-def test_depots_cut_off_from_each_other_agree_on_one_of_two_deliverers() -> None:
-    """d2 gave the same number to another: the first name wins here as there, whoever is heard first."""
-    for held, other in (("c1", "c2"), ("c2", "c1")):
-        d = Depot(READY)
-        d.k.counters["c1"].given = int(held == "c2")
-        d.play(f"2.00 c1 keep m1 parked; {held} mine mids=m1 claims=1\n2.10 {other} mine mids=m1 claims=1")
-        assert d.k.entries["m1"].owner.startswith("c1/")
-        assert [(node, list(w.gone)) for _, node, kind, w in d.said if kind == "checked"] == [("c2", ["m1"])]
+@pytest.mark.parametrize("held, other", [("c1", "c2"), ("c2", "c1")])
+def test_who_delivers_and_is_heard_stays_whatever_number_another_was_given(held: str, other: str) -> None:
+    """d2, which does not hear this one, gave it to the other: that one is told, and begins nothing."""
+    d = Depot(READY)
+    d.k.counters["c1"].given = int(held == "c2")
+    d.play(f"2.00 c1 keep m1 parked; {held} mine mids=m1 claims=1\n2.10 {other} mine mids=m1 claims=2 ask")
+    assert d.k.entries["m1"].owner.startswith(held + "/")
+    told = [(node, list(w.gone), list(w.agreed)) for _, node, kind, w in d.said if kind == "checked"]
+    assert told == [(other, ["m1"], [])]
+    d.play(f"2.20 {held} silent\n4.40 {other} mine mids=m1 claims=3 ask")
+    assert d.k.entries["m1"].owner.startswith(other + "/")
+    assert [list(w.agreed) for _, node, kind, w in d.said if kind == "checked"][-1] == ["m1"]
+
+
+def test_a_depot_that_is_asked_agrees_to_what_has_no_end_and_no_other_deliverer() -> None:
+    d = Depot(READY)
+    d.play("2.00 c1 keep m1; c1 keep m2; c1 keep m3 due=5 parked; c1 end mid=m2 complete seal=s")
+    d.play("2.10 c2 mine mids=m1,m2,m3,m4 claims=1,1,1,1 ask")
+    told = [(node, list(w.gone), list(w.agreed)) for _, node, kind, w in d.said if kind == "checked"]
+    assert told == [("c2", ["m1"], ["m3", "m4"])]  # m4 is not known here: another may have it
+    assert (2.1, "c2") in d.got("end")
 
 
 def test_who_delivers_learns_that_another_has_succeeded() -> None:
     """Else it would try again after a failure of its own."""
     d = Depot(f"{READY}\n2.00 c1 keep m1; c1 keep m2\n2.10 c2 end mid=m1 complete seal=s1; c1 end mid=m2")
-    assert d.got("end") == [(2.1, "c1")] and d.got("ended") == [(2.1, "c2"), (2.1, "c1")]
+    # and the other depot that keeps it, which c2 may not know or not reach
+    assert d.got("end") == [(2.1, "c1"), (2.1, "d2")] and d.got("ended") == [(2.1, "c2"), (2.1, "c1")]
 
 
 def test_what_a_counter_let_go_is_assigned_anew() -> None:
@@ -222,7 +237,7 @@
         == snapshot
     )
     assert d.got("assign", "m1") == [(2.95, "c1"), (3.6, "c1"), (4.2, "c1"), (4.65, "c3")]
-    assert d.got("assign", "m2") == [(2.95, "c2"), (3.4, "c1")] and d.got("assign", "m3") == [(3.95, "c3")]
+    assert d.got("assign", "m2") == [(2.95, "c2"), (3.35, "c1")] and d.got("assign", "m3") == [(3.95, "c3")]
 
 
 def test_the_first_holder_that_is_there_assigns(snapshot) -> None:
--- a/tests/test_post_known.py
+++ b/tests/test_post_known.py
@@ -94,7 +94,10 @@
     late = Spy("depot", far, "b")
     c.joined(late)  # its link comes up
     c.settle()
-    assert late.kinds() == ["mine", "mine"]  # what had waited, and all that is here
+    # what had waited, the same asked anew as its answer may be lost with a link, and all that is here
+    assert late.kinds() == ["mine"] * 3
+    words = [word for kind, word in late.said if kind == "mine"]
+    assert [(word.ask, word.whole) for word in words] == [(True, False), (True, False), (False, True)]
     c.clock(2.0)  # its time is over
     c.hear(near, "pulse", Pulse(settled=True, at=1.0, echo=2.0))
     c.settle()
--- a/tests/test_post_rounds.py
+++ b/tests/test_post_rounds.py
@@ -96,6 +96,7 @@
 
     def do_up(self, depot: str) -> None:
         self.r.depot_up(depot)
+        self.r.sends.append((depot, "mine", self.r.deliveries_of(depot)))
 
     def hear(self, who: str, kind: str, said) -> None:
         if kind == "checked":
--- a/tests/test_post_twice.py
+++ b/tests/test_post_twice.py
@@ -10,8 +10,9 @@
 
 
 def test_a_list_of_deliveries_is_not_overtaken_by_what_was_accepted_after_it() -> None:
-    """The list was made as the first echo was heard and said with the next words, after those of a request that
-    came in between. The depots gave that message to another counter, and both delivered it."""
+    """The list was made as the first echo was heard and said with the next words, after those of a request
+    that came in between. The depots gave that message to another counter, and both delivered it.
+    """
     cluster = Cluster(counters=2, depots=2)
     cluster.start_counter("c3", 13)
     cluster.read()  # the depots have heard c3, and have not said so yet
@@ -28,8 +29,9 @@
 
 @pytest.mark.parametrize("moved", [False, True])
 def test_two_depots_that_do_not_hear_each_other_have_a_message_begun_once(moved: bool) -> None:
-    """Each of them acted, and gave it to another counter; both counters were linked to both depots. `moved`: one
-    of them had its copy made anew elsewhere, as the other was away for long."""
+    """Each of them acted, and gave it to another counter; both counters were linked to both depots. `moved`:
+    one of them had its copy made anew elsewhere, as the other was away for long.
+    """
     cluster = Cluster(counters=5, depots=3)
     mid = cluster.accepted("c1", delay=14.0 if moved else 0.0)
     cluster.run(0.1)
@@ -50,9 +52,10 @@
 
 @pytest.mark.parametrize("again", [False, True])
 def test_an_end_that_one_holder_missed_reaches_it_before_the_other_is_stopped(again: bool) -> None:
-    """A counter that ended just after one of its links had broken left that depot without the end. Depots compared
-    what they keep only as a link between them came up; once the other was stopped by plan, it had the message
-    delivered again. `again`: the counter is started again at once."""
+    """A counter that ended just after one of its links had broken left that depot without the end. Depots
+    compared what they keep only as a link between them came up; once the other was stopped by plan, it had
+    the message delivered again. `again`: the counter is started again at once.
+    """
     cluster = Cluster(counters=2, depots=3)
     mid = cluster.accepted("c1")
     cluster.run(0.1)
