Invariant: what has ended is not begun; counted, told, and on in every test

Beside it second_successes (305: two runs succeeded and both answers were read) and missed_ends (306), which trouble may bring about. A gateway that is given what it knows as ended says so to the store that missed it (it kept silent, and took it after 30 s), and remembers ends of messages that are not accepted yet. A depot takes no keep, mine or refuse of a counter's earlier process for the later one's.

One assertion is replaced by a stricter one: that an assignment of what has ended is answered by nothing (now by its end).

--- a/opalwick/lab/post/process.py
+++ b/opalwick/lab/post/process.py
@@ -245,7 +245,14 @@
         for call, fields in later:
             self.event(call, *fields)
 
+    def check_invariants(self) -> None:
+        """What the role has counted and must never be so is a fault of the day."""
+        if count := self.role.figures().get("begun_after_end", 0):
+            problem = f"{count} deliveries were about to go out after their message's end was known"
+            self.world.problems.append((self.agenda.now, self.node, problem, ""))
+
     def die(self, told: bool) -> None:
+        self.check_invariants()
         self.alive = False
         for end in list(self.all):
             end.drop(told)
--- a/opalwick/lab/post/sockets/world.py
+++ b/opalwick/lab/post/sockets/world.py
@@ -25,6 +25,7 @@
 from opalwick.lab.post.workers import Run, Worker
 from opalwick.lab.post.world import World
 from opalwick.lab.sockets.clock import RealAgenda
+from opalwick.post import events
 
 WORKERS = 100  # a machine's last octet stays below, workers' begin there
 STEP = 0.5  # s between looks whether the day is over
@@ -178,5 +179,7 @@
             for line in machine.log.read_text(errors="replace").splitlines() if machine.log.exists() else ():
                 if '"post:901"' in line:
                     machine.problem(json.loads(line).get("where") or line)
+                elif any(f'"post:{number}"' in line for number in events.VIOLATIONS):
+                    machine.problem(f"an invariant does not hold: {line}")
                 elif line.startswith("Traceback"):
                     machine.problem("a traceback in its log")
--- a/opalwick/lab/post/world.py
+++ b/opalwick/lab/post/world.py
@@ -137,6 +137,9 @@
         self.begin()
         while (when := self.agenda.next()) is not None and when <= self.ends_at:
             self.agenda.fire()
+        for machine in self.machines.values():
+            if machine.proc is not None:
+                machine.proc.check_invariants()
 
     def acknowledged(self) -> None:
         if self.closing is not None and self.agenda.now >= self.closing[0]:
--- a/opalwick/post/__main__.py
+++ b/opalwick/post/__main__.py
@@ -1,6 +1,7 @@
 """The two programs: `python -m opalwick.post carrier counter|depot`, `python -m opalwick.post postmaster`.
 
-With `--trace` behind it a process writes events of single messages as well (`docs/operate/events.md`).
+With `--trace` behind it a process writes events of single messages as well (`docs/operate/events.md`); with
+`--metrics PORT/PATH` it tells its figures there, beside the operators' address.
 """
 
 from __future__ import annotations
@@ -8,6 +9,39 @@
 import os
 import signal
 import sys
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from opalwick.post.operators import Metrics
+
+
+USAGE = "usage: opalwick.post carrier counter | carrier depot | postmaster [--trace] [--metrics PORT/PATH]"
+
+
+class Options(NamedTuple):
+    trace: bool
+    metrics: Metrics | None
+
+
+def split_options(arguments: list[str]) -> tuple[list[str], Options]:
+    """The words that name the role, and the options behind them; ValueError names what is wrong."""
+    from opalwick.post.operators import Metrics
+
+    words, trace, metrics = list[str](), False, None
+    rest = iter(arguments)
+    for argument in rest:
+        if argument == "--trace":
+            trace = True
+        elif argument == "--metrics":
+            try:
+                metrics = Metrics.parse(next(rest, ""))
+            except ValueError as problem:
+                raise ValueError(f"--metrics {problem}") from None
+        elif argument.startswith("-"):
+            raise ValueError(f"{argument} is no option. {USAGE}")
+        else:
+            words.append(argument)
+    return words, Options(trace, metrics)
 
 
 def main(arguments: list[str]) -> int:
@@ -27,10 +61,12 @@
     except Faulty as problem:
         print(problem, file=sys.stderr)
         return 2
-    traced = arguments[-1:] == ["--trace"]
-    events.begin(traced)
-    if traced:
-        arguments = arguments[:-1]
+    try:
+        arguments, options = split_options(arguments)
+    except ValueError as problem:
+        print(f"opalwick post: {problem}", file=sys.stderr)
+        return 2
+    events.begin(options.trace)
     stop, again = Event(), Event()
     for number, event in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGHUP, again)):
         gevent.signal_handler(number, event.set)
@@ -38,17 +74,17 @@
     if arguments == ["carrier", "counter"]:
         from opalwick.post.counter.agent import CounterShell
 
-        CounterShell(settings, Process(stop, again, path)).serve()
+        CounterShell(settings, Process(stop, again, path, options.metrics)).serve()
     elif arguments == ["carrier", "depot"]:
         from opalwick.post.depot.agent import DepotShell
 
-        DepotShell(settings, Process(stop, again, path)).serve()
+        DepotShell(settings, Process(stop, again, path, options.metrics)).serve()
     elif arguments == ["postmaster"]:
         from opalwick.post.office.agent import OfficeShell
 
-        OfficeShell(settings, Process(stop, again, path)).serve()
+        OfficeShell(settings, Process(stop, again, path, options.metrics)).serve()
     else:
-        print("usage: opalwick.post carrier counter | carrier depot | postmaster [--trace]", file=sys.stderr)
+        print(USAGE, file=sys.stderr)
         return 2
     events.say(902)
     return 0
--- a/opalwick/post/counter/role.py
+++ b/opalwick/post/counter/role.py
@@ -211,7 +211,7 @@
                 self.rounds.has_end(node, word.mid)
             case "end":
                 self.trace(155, message=word.mid, by=node, seal=word.seal)
-                self.rounds.ended_elsewhere(word.mid)
+                self.rounds.ended_elsewhere(word)
             case "assign" if word.letter.home and self.guard.home(word.letter) != self.guard.here:
                 link.say("refuse", Refuse(mid=word.letter.mid, claim=word.letter.claim))
             case "assign":
@@ -521,6 +521,10 @@
         item = order.item
         if item.over or item.foreign or self.now >= min(item.until, item.use_by) or not self.may_send(item):
             return False
+        if item.mid in self.rounds.ended:  # it must not be among those that are delivered
+            self.rounds.figures["begun_after_end"] += 1
+            self.event(158, message=item.mid, claim=item.claim, attempt=item.attempt)
+            return False
         if item.letter.home:  # as it is proven now: by its end the worker may have gone
             item.sent[order.number] = self.guard.worker(order.place)
         return self.guard.delivery(item.letter, order.place)
--- a/opalwick/post/counter/rounds.py
+++ b/opalwick/post/counter/rounds.py
@@ -128,7 +128,7 @@
         self.ending: dict[
             str, tuple[End, set[str], float]
         ] = {}  # ends, and who has not said that it has them
-        self.ended: dict[str, tuple[float, End | None]] = {}  # when it was known, and how it did if here
+        self.ended: dict[str, tuple[float, End]] = {}  # when it was known, and how it did
         self.numbers: dict[str, int] = {}  # of what each depot was told to be delivered here, as a whole
         self.by_service: dict[str, int] = {}  # ends told, since the start
         self.leaving = False
@@ -138,6 +138,7 @@
         self.sends: list[tuple[str, str, Any]] = []
         self.orders: list[Start | Stop] = []
         self.figures = {"delivered": 0, "failed": 0, "dead": 0, "unknown": 0, "parked": 0, "turned_away": 0}
+        self.figures |= {"begun_after_end": 0, "second_successes": 0}
 
     def clock(self, now: float) -> None:
         self.now = now
@@ -314,8 +315,9 @@
     # ---- messages in
 
     def accepted(self, letter: Letter, touched: tuple[str, ...]) -> None:
-        """It is kept, and this counter's from the start."""
-        self.take(Item(letter, touched, self.now))
+        """It is kept, and this counter's from the start, unless another has ended it by now."""
+        if letter.mid not in self.ended:
+            self.take(Item(letter, touched, self.now))
 
     def assigned(self, node: str, letter: Letter) -> None:
         """A depot has it delivered here."""
@@ -329,8 +331,7 @@
             if known.foreign:  # it comes back while a delivery of it is on its way
                 known.foreign, known.awaited, known.since = False, others, self.now
         elif (found := self.ended.get(mid)) is not None:
-            if found[1] is not None:
-                self.sends.append((node, "end", found[1]))
+            self.sends.append((node, "end", found[1]))  # which that depot has missed
             return
         elif self.leaving or self.routes is None:
             self.sends.append((node, "refuse", Refuse(mid=mid, claim=letter.claim)))
@@ -568,6 +569,8 @@
         desk = self.desks.get(item.svc)
         if not item.over:
             self.judge(item, verdict, seal)
+        elif verdict is Verdict.DONE and self.succeeded_before(item.mid, seal):
+            self.figures["second_successes"] += 1
         if desk is not None and key in desk.reducer.items:
             # while its first run is on, none of the others would take it: it is not offered to each in turn
             answered = verdict is not Verdict.DONE and (
@@ -591,6 +594,11 @@
             else:
                 self.again(item)
 
+    def succeeded_before(self, mid: str, seal: str) -> bool:
+        """Whether another run of it than the one with that seal has succeeded."""
+        found = self.ended.get(mid)
+        return found is not None and found[1].complete and found[1].seal != seal
+
     def judge(self, item: Item, verdict: Verdict, seal: str) -> None:
         """What it means for the message."""
         if verdict is Verdict.DONE:
@@ -659,7 +667,7 @@
         """Others keep it from now on: its end is for them."""
         if (item := self.items.get(mid)) is not None:
             item.touched = holders
-        elif (found := self.ended.get(mid)) is not None and found[1] is not None:
+        elif (found := self.ended.get(mid)) is not None:
             self.ending[mid] = found[1], set(holders), self.now
             for node in holders:
                 self.sends.append((node, "end", found[1]))
@@ -675,11 +683,11 @@
         if (desk := self.desks.get(item.svc)) is not None:
             self.carry_out(desk, desk.put(self.now, "left", (item.mid, item.attempt)))
 
-    def ended_elsewhere(self, mid: str) -> None:
-        """A depot knows that it has ended."""
-        if (item := self.items.get(mid)) is not None:
+    def ended_elsewhere(self, word: End) -> None:
+        """A depot knows that it has ended. It may be one that is not accepted here yet."""
+        self.ended.setdefault(word.mid, (self.now, word))
+        if (item := self.items.get(word.mid)) is not None:
             self.drop(item)
-            self.ended[mid] = self.now, None
 
     def park(self, item: Item) -> None:
         """Back to its depots, which have it delivered once it is due."""
--- a/opalwick/post/depot/keeping.py
+++ b/opalwick/post/depot/keeping.py
@@ -178,6 +178,8 @@
         self.seal = Seal()  # once nothing is to be kept here any more
         self.moving = Moving(self, copies, spread)
         self.figures = {"kept": 0, "ended": 0, "assigned": 0, "lapsed": 0, "handed": 0, "refused": 0}
+        self.figures |= {"second_successes": 0, "missed_ends": 0}
+        self.event: Callable[..., None] = lambda number, **fields: None  # its role sets it
         self.trace: Callable[..., None] = lambda number, **fields: (
             None
         )  # of single messages; its role sets it
@@ -366,6 +368,7 @@
         said = (node, "ended", Ended(mid=word.mid))
         if word.mid in self.ends:
             self.writes.append(Write("none", (), (said,)))
+            self.compare_successes(node, word)
             return
         entry, counter = self.entries.get(word.mid), self.counters.get(node)
         self.finish(word.mid, word.complete, word.seal, said, waits=word.until)
@@ -376,6 +379,13 @@
         if entry is not None and word.complete and self.node in entry.holders[:1]:
             self.noted(entry, "runs", word.country)
 
+    def compare_successes(self, node: str, word: End) -> None:
+        """Two runs of one message that both succeeded, and whose answers were both read."""
+        complete, seal, *_ = self.ends[word.mid]
+        if complete and word.complete and seal and word.seal and seal != word.seal:
+            self.figures["second_successes"] += 1
+            self.event(305, message=word.mid, seal=word.seal, known=seal, by=node)
+
     def tell_end(self, mid: str, nodes: Iterable[str]) -> None:
         for node in nodes:
             self.send(node, "end", self.end_of(mid))
@@ -629,6 +639,9 @@
     def differ(self, node: str, word: Differ) -> None:
         for end in word.ends:
             if end.mid not in self.ends:
+                if not word.last and node not in self.awaits:  # no link has just come up
+                    self.figures["missed_ends"] += 1
+                    self.event(306, message=end.mid, by=node)
                 self.finish(end.mid, end.complete, end.seal, waits=end.until)
         for mid in word.drop:
             if (entry := self.entries.get(mid)) is not None:
--- a/opalwick/post/depot/role.py
+++ b/opalwick/post/depot/role.py
@@ -37,7 +37,7 @@
             settings.survive.boxes + 1,
             settings.survive.spread,
         )
-        self.keeping.trace = self.trace
+        self.keeping.trace, self.keeping.event = self.trace, self.event
         self.guard = Guard(self.zone, settings, self.directory, self.event)
         self.queue: list[Write | Fetch] = []
         self.disk_since: float | None = None  # when the batch that is on its way to the disk was taken
@@ -89,6 +89,11 @@
         k, node = self.keeping, link.peer.node
         if kind == "news" and word.whole:
             self.told.add(node)
+        if link.peer.role == "counter" and self.is_of_earlier_life(link):
+            if kind in ("mine", "refuse"):
+                return
+            if kind == "keep":  # nobody delivers it
+                word.parked = True
         match kind, link.peer.role:
             case "pulse", "counter":
                 k.counter_pulse(node, word)
@@ -112,6 +117,11 @@
             case _:
                 super().heard(link, kind, word)
 
+    def is_of_earlier_life(self, link: Link) -> bool:
+        """Whether a later process of that counter has been heard; words of the earlier one may lie unread."""
+        counter = self.keeping.counters.get(link.peer.node)
+        return counter is not None and counter.life > link.peer.life
+
     def trace_word(self, node: str, kind: str, word: Any) -> None:
         """What is heard of one message, and by whom it was delivered until then."""
         if kind in ("keep", "mine", "tried"):
--- a/opalwick/post/events.py
+++ b/opalwick/post/events.py
@@ -14,6 +14,7 @@
 
 import eliot
 
+VIOLATIONS = frozenset((158,))  # numbers of events that tell of what must never be so
 MOST = 20  # lines of one number in a second: a storm of one kind must not cost the work its processor
 _told: dict[int, tuple[int, int]] = {}
 _tracing = False
--- a/opalwick/post/link.py
+++ b/opalwick/post/link.py
@@ -18,7 +18,7 @@
 from gevent.event import Event
 
 from opalwick.post import events
-from opalwick.post.operators import Look, Operators, place
+from opalwick.post.operators import Look, Metrics, Operators, place
 from opalwick.post.settings import Faulty, read
 from opalwick.post.station import Station
 from opalwick.post.wire_pb2 import Envelope, Hello
@@ -151,6 +151,7 @@
     stop: Event
     again: Event
     path: str
+    metrics: Metrics | None = None
 
 
 class Shell:
@@ -301,6 +302,9 @@
 
     def begin(self) -> None:
         operators = Operators(self.role, place(self.role.settings), self.look)
+        if (metrics := self.process.metrics) is not None:
+            told = Operators(self.role, (self.role.ip, metrics.port), self.look, metrics_path=metrics.path)
+            self.forever(told.accept)
         for work in (
             self.listen,
             self.keep_pulse,
--- a/opalwick/post/operators.py
+++ b/opalwick/post/operators.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import replace
 from importlib import import_module
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qsl, unquote_to_bytes
 
 import gevent
@@ -42,6 +42,21 @@
 Look = Callable[[Callable[[Any], Any]], Any]
 
 
+class Metrics(NamedTuple):
+    """Where a process tells its figures to whoever collects them: a port of its machine, and a path."""
+
+    port: int
+    path: str
+
+    @classmethod
+    def parse(cls, text: str) -> Metrics:
+        """`PORT/PATH`, as `metrics` of a role in deploy/system.toml has it; ValueError says what is wrong."""
+        port, slash, path = text.partition("/")
+        if not slash or not path or not port.isdecimal() or not 0 < int(port) < 65536:
+            raise ValueError(f"must be PORT/PATH, such as 9464/metrics, not {text!r}")
+        return cls(int(port), f"/{path}")
+
+
 def place(settings: Settings) -> Address | None:
     """None where the machine has only one port for it."""
     first, last = settings.ports
@@ -130,8 +145,12 @@
         place: Address | None,
         look: Look | None = None,
         clock: Callable[[], float] = time.monotonic,
+        metrics_path: str = "",
     ) -> None:
-        """`look`: a depot's way to its disk; other roles have none."""
+        """`look`: a depot's way to its disk; other roles have none. `metrics_path`: only the figures are
+        told, at that path.
+        """
+        self.metrics_path = metrics_path
         self.role, self.place, self.look, self.clock = role, place, look, clock
         self.pulse = Pulse(clock())
         self.limits = replace(
@@ -185,6 +204,10 @@
 
     def carry_out(self, message: Message) -> Any:
         path, _, asked = message.target.partition(b"?")
+        if self.metrics_path:
+            if path != self.metrics_path.encode():
+                raise Malformed(404, f"only {self.metrics_path} is told here")
+            path = b"/metrics"
         _, first, *rest = path.split(b"/")
         if first not in (b"status", b"message", b"dead", b"conf", b"home", b"metrics") or len(rest) > 1:
             raise Malformed(404, "no such call")
--- a/opalwick/post/plan.py
+++ b/opalwick/post/plan.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
+from opalwick.post.operators import Metrics
 from opalwick.post.office.views import MOST
 from opalwick.post.settings import Faulty, Settings, Survive
 
@@ -39,7 +40,9 @@
 
     @property
     def program(self) -> str:
-        return next((name for name in PROGRAMS if self.run.endswith(name)), "")
+        """The one of ours that it runs, whatever options stand behind it; empty: none."""
+        words = self.run.partition(" --")[0]
+        return next((name for name in PROGRAMS if words.endswith(name)), "")
 
     def machines(self, there: int) -> int:
         """Of so many in a zone."""
@@ -108,7 +111,7 @@
             self.wrong("", "roles", f"{name!r} must be a table")
             return None
         for key in given:
-            if key not in ("run", "on", "share", "count", "apart", "serves"):
+            if key not in ("run", "on", "share", "count", "apart", "serves", "metrics"):
                 self.wrong(name, key, "no such field")
         run, on, serves = given.get("run"), given.get("on"), given.get("serves", [])
         if not isinstance(run, str) or not run.split():
@@ -130,13 +133,19 @@
         if count is not None and (type(count) is not int or count < 1):
             self.wrong(name, "count", f"must be a whole number from 1, not {count!r}")
             count = 1
+        if (metrics := given.get("metrics")) is not None:
+            try:
+                Metrics.parse(str(metrics))
+            except ValueError as problem:
+                self.wrong(name, "metrics", str(problem))
         if type(apart) is not bool:
             self.wrong(name, "apart", "must be true or false")
         if on != "disk" and "disk" in serves:
             self.wrong(name, "serves", f"disk is served on disk machines alone, not on {on!r}")
         role = Role(name, run, str(on), tuple(serves), float(share or 0.0), int(count or 0), bool(apart))
         if run and not role.program:
-            self.wrong(name, "run", f"none of our programs: it must end in {', '.join(map(repr, PROGRAMS))}")
+            programs = ", ".join(map(repr, PROGRAMS))
+            self.wrong(name, "run", f"none of our programs: it must end in {programs}, and options behind it")
         elif run:
             where, what = PROGRAMS[role.program]
             if on in CLASSES and on != where:
--- a/tests/test_post_commands.py
+++ b/tests/test_post_commands.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+import tomllib
 from pathlib import Path
 from typing import Any
 
@@ -16,10 +17,11 @@
 
 from opalwick.commands import app
 from opalwick.post import commands, plan, replay
+from opalwick.post.__main__ import split_options
 from opalwick.post.commands import ask, differences, merged, run
 from opalwick.post.counter.intake import Intake
 from opalwick.post.depot.disk import Disk
-from opalwick.post.operators import Operators
+from opalwick.post.operators import Metrics, Operators
 from opalwick.post.settings import Faulty
 from opalwick.post.wire_pb2 import Conf, End, Keep, Letter, News, Route, Service, Worker
 from opalwick.protocol.http import Message
@@ -426,6 +428,21 @@
     )
 
 
+def test_each_role_tells_its_figures_where_the_deploy_file_says() -> None:
+    """The file is read by the platform, the option by the process: they must be the same."""
+    for role in tomllib.loads(DEPLOY)["roles"].values():
+        _, options = split_options(role["run"].split("opalwick.post ")[1].split())
+        assert options.metrics == Metrics.parse(role["metrics"])
+
+
+@pytest.mark.parametrize(
+    "words", ["--metrics", "--metrics 9464", "--metrics /metrics", "--metrics 0/x", "--tarce"]
+)
+def test_a_wrong_option_is_named(words: str) -> None:
+    with pytest.raises(ValueError, match="--metrics must be PORT/PATH|--tarce is no option"):
+        split_options(["postmaster", *words.split()])
+
+
 def test_repeats_are_told_by_cause_from_the_logs_of_all_processes(
     tmp_path: Path, capsys: pytest.CaptureFixture
 ) -> None:
--- a/tests/test_post_rounds.py
+++ b/tests/test_post_rounds.py
@@ -7,10 +7,11 @@
 import pytest
 from post_helper import Player, letter
 
-from opalwick.post.counter.rounds import Rounds, Start, Stop
+from opalwick.post.counter.role import Counter
+from opalwick.post.counter.rounds import Item, Rounds, Start, Stop
 from opalwick.post.settings import parse
 from opalwick.post.verdict import Verdict
-from opalwick.post.wire_pb2 import Conf, Route, Service, Worker
+from opalwick.post.wire_pb2 import Conf, End, Letter, Route, Service, Worker
 from opalwick.routing.reducer import Answer, Final
 
 SETTINGS = parse("node=c1\nrole=post\nip=10.1.0.25\naz=n\nport_range=7240,7255\n", "f")
@@ -102,7 +103,7 @@
         if kind == "checked":
             self.r.taken_away(who, list(said.gone))
         elif kind == "end":
-            self.r.ended_elsewhere(said.mid)
+            self.r.ended_elsewhere(said)
         else:
             self.r.has_end(who, said.mid)
 
@@ -287,7 +288,9 @@
 
 
 def test_what_ended_elsewhere_is_not_begun_again(snapshot) -> None:
-    """Not after the run that is under way, not once it has a permit; its late end is told to nobody."""
+    """Not after the run that is under way, not once it has a permit; its late end is told to nobody. A depot
+    that assigns it has missed the end, and is told: else it would assign it until this counter has forgotten.
+    """
     p = Rounding()
     assert (
         p.play("""
@@ -297,7 +300,22 @@
         3.00 d1 assign m1 claim=1""")
         == snapshot
     )
-    assert len(p.starts) == 2 and not p.r.items and not p.said
+    assert len(p.starts) == 2 and not p.r.items
+    assert [(node, kind, word.seal) for _, node, kind, word in p.said] == [("d1", "end", "s9")]
+
+
+@pytest.mark.violates
+def test_what_has_ended_is_not_sent_whatever_was_decided() -> None:
+    """The last look before a delivery goes out: it counts, and tells, what must never come so far."""
+    counter = Counter(SETTINGS, 1, 0.0, 8)
+    item = Item(Letter(mid="m", until=9.0), ("d1",), 0.0)
+    counter.heard_here["d1"] = counter.now
+    counter.sure.add("d1")
+    order = Start(item, ("m", 1), 0, ("10.0.0.1", 80, "w"), 1.0, False)
+    assert counter.still(order)
+    counter.rounds.ended_elsewhere(End(mid="m", complete=True, seal="s"))
+    assert not counter.still(order)
+    assert counter.figures()["begun_after_end"] == 1
 
 
 def test_leaving_gives_back_all_that_is_not_on_its_way(snapshot) -> None:
