--- a/bench/hard_days.py
+++ b/bench/hard_days.py
@@ -43,6 +43,9 @@
     "leader race",
     "leader hard",
     "reader",
+    "behind",
+    "split",
+    "relieve",
 )
 # by kind: the variants of `how`; "CLASS/" before one: on that class of machines
 VARIANTS: dict[str, tuple[str, ...]] = {
@@ -65,7 +68,7 @@
     "roll_term": ("front/", "store/", "core/", "store/busy", "core/busy", "core/remove", "core/meet race"),
     "add_nodes": ("front/", "store/", "core/"),
     "replace_core": ("core/", "core/planned", "core/oldest", "store/", "store/planned", "store/oldest"),
-    "after_ack_kill": ("", "kill", "timed", "taken", "store/", "taken gone"),
+    "after_ack_kill": ("", "kill", "timed", "taken", "store/", "taken gone", "store/kill"),
     "after_ack_wipe": ("", "oldest", "store/", "store/oldest"),
     "disk_stall": ("core/", "store/"),
     "core_cut": (*("core/" + how for how in CORE_CUT_HOW), "store/", "store/reset", "store/one_way"),
@@ -85,7 +88,7 @@
     ),
     "retire": ("", "wipe"),
     "node_slow": ("front/", "store/", "core/"),
-    "herd_kill": ("front/", "front/power", "core/", "core/power", "core/taken", "core/taken all"),
+    "herd_kill": ("front/", "front/power", "core/", "core/power", "core/off", "core/taken", "core/taken all"),
     "seed_turnover": ("",),
     "disk_slow": ("core/", "store/"),
     "disk_full": ("core/", "store/"),
@@ -129,6 +132,11 @@
     "disk_slow",
     "disk_full",
 }
+LEFT_OVER = 9.0  # s from the day's begin after which no trouble begins, where restarts are to follow
+RESTARTS = (
+    ("store", 12.0),
+    ("front", 6.0),
+)  # s before the day's end that these machines are restarted by plan
 CLOSINGS = (
     "",
     "power_off_all",
@@ -193,8 +201,12 @@
     return found
 
 
-def plan_days(variants: list[Variant], times: int, seed: int, length: float) -> list[dict[str, Any]]:
-    """Days in which each variant comes `times` times; no day has one twice in a row of the same kind."""
+def plan_days(
+    variants: list[Variant], times: int, seed: int, length: float, restarts: bool = False
+) -> list[dict[str, Any]]:
+    """Days in which each variant comes `times` times; no day has one twice in a row of the same kind. With
+    `restarts` the troubles come early, and stores and gateways are restarted by plan in the calm after them.
+    """
     draw = random.Random(seed)
     deck: list[Variant] = []
     for _ in range(times):
@@ -204,12 +216,17 @@
     days = []
     for number in range(0, len(deck), TROUBLES_PER_DAY):
         hand = deck[number : number + TROUBLES_PER_DAY]
-        starts = sorted(draw.uniform(1.5, length - 9.0) for _ in hand)
+        starts = sorted(draw.uniform(1.5, LEFT_OVER if restarts else length - 9.0) for _ in hand)
         if len(starts) > 1:
             starts[1] = starts[0] + draw.uniform(0.0, 1.0)
         day: dict[str, Any] = {"plan": [], "faults": [], "played": [variant.name for variant in hand]}
         for variant, at in zip(hand, starts):
             day["plan" if variant.kind in PLANNED else "faults"].append(entry(draw, variant, at, length))
+        if restarts:
+            day["plan"] += [
+                {"at": length - before, "kind": "roll_term", "on": on, "gap_s": 1.0}
+                for on, before in RESTARTS
+            ]
         closing, _, how = CLOSINGS[len(days) % len(CLOSINGS)].partition("/")
         if closing:
             day["closing"] = {
@@ -305,6 +322,7 @@
     parser.add_argument("--days", type=int, default=0, help="the first so many alone")
     parser.add_argument("--why", default="Days drawn for every kind and variant of trouble")
     parser.add_argument("--out", default="found/hard-days")
+    parser.add_argument("--restarts", action="store_true", help="early troubles, calm, planned restarts")
     parser.add_argument("--table-only", action="store_true", help="what would be played")
     told = parser.parse_args()
     site = tomllib.loads(pathlib.Path(told.site).read_text())
@@ -312,7 +330,7 @@
         [told.bench, "kinds", told.site], capture_output=True, text=True, check=True
     ).stdout
     variants = variants_of(re.findall(r"^(\w+):", printed, re.MULTILINE))
-    days = plan_days(variants, told.times, told.seed, float(site["length_s"]))
+    days = plan_days(variants, told.times, told.seed, float(site["length_s"]), told.restarts)
     days = days[: told.days or len(days)]
     folder = pathlib.Path(told.out) / site["name"]
     folder.mkdir(parents=True, exist_ok=True)
