Mend: a depot that ends waits for the batch that is on its way to its disk

The look whether all is done saw an empty queue, though a batch was on its way in the disk's thread; the disk was closed under it.

Change: nothing on its way is part of being done.

Measured: the test fails without the change.

--- a/opalwick/post/counter/role.py
+++ b/opalwick/post/counter/role.py
@@ -89,6 +89,7 @@
         self.sweep_at = now
         self.prefix = f"{tag(self.node)}.{short(life)}."
         self.counts = {"asked_back": 0, "no_route": 0, "away": 0, "away_octets": 0}
+        self.counts["unclaimed"] = 0
 
     def clock(self, now: float) -> None:
         self.now = now
@@ -514,6 +515,8 @@
         if item.letter.home and verdict.ran and not item.over:
             self.short.ended(self.rounds.whose(item), self.now)
             item.ran = item.sent.get(order.number, "")
+        if seal and verdict.ran is None:
+            self.counts["unclaimed"] += 1
         self.rounds.result(item, order.key, order.number, verdict, seal, load, kept)
 
     def still(self, order: Start) -> bool:
--- a/opalwick/post/depot/role.py
+++ b/opalwick/post/depot/role.py
@@ -249,8 +249,11 @@
 
     @property
     def gone(self) -> bool:
-        """All that it took is on the disk and answered."""
-        return bool(self.left_at) and self.now - self.left_at >= LEAVE and not self.queue
+        """All that it took is on the disk and answered; nothing is on its way there, in a thread that would
+        go on with a closed disk.
+        """
+        answered = not self.queue and self.disk_since is None
+        return bool(self.left_at) and self.now - self.left_at >= LEAVE and answered
 
     def figures(self) -> dict[str, Any]:
         k = self.keeping
--- a/tests/test_post_roles.py
+++ b/tests/test_post_roles.py
@@ -56,6 +56,21 @@
     assert [(word.call, word.state, word.body) for word in told] == [(7, state, body)]
 
 
+def test_a_depot_does_not_end_while_a_batch_is_on_its_way_to_a_slow_disk() -> None:
+    """Found by a soak: its thread went on with a disk that was closed, and the process ended with a fault."""
+    depot, link = Depot(parse(SETTINGS, "here"), 1, 0.0, "x"), Spy("counter")
+    depot.clock(1.0)
+    depot.joined(link)
+    depot.heard(link, "keep", Keep(letter=Letter(mid="m.1.1", holders=["d1"], until=90.0)))
+    depot.settle()
+    batch = depot.batch()
+    depot.leave()
+    depot.clock(5.0)
+    assert not depot.gone
+    depot.synced(*batch, [])
+    assert depot.gone and "kept" in [kind for kind, _ in link.said]
+
+
 def test_a_counter_asks_again_whose_its_messages_are_once_words_are_not_late_any_more() -> None:
     """A depot's answer that came when the last echo was old proved nothing; and nothing else was to come."""
     text = SETTINGS.replace("depot", "counter").replace("disk", "none").replace("datadir=/data\n", "")
