--- a/opalwick/post/counter/delivery.py
+++ b/opalwick/post/counter/delivery.py
@@ -143,13 +143,13 @@
     def heard(self, connection: Connection, last: Message) -> End:
         fields = last.headers
         found = verdict(last, self.rid, self.alone, self.whole)
-        seal = fields.get(b"x-seal", b"").decode("latin-1")
         if not belongs(last, self.rid, self.alone):
             connection.close()  # of another request, come late
-            return found, seal, None
+            return found, "", None
         if (kept := _KEEP.search(fields.get(b"keep-alive", b""))) is not None:
             # a request must not cross the other side's close
             self.pool.rests(self.address, max(0.1, 0.7 * float(kept[1]) - 0.1))
+        seal = fields.get(b"x-seal", b"").decode("latin-1")
         if found is Verdict.ABSENT:
             connection.close()
         return found, seal, load(fields.get(b"x-load", b""))
--- a/opalwick/post/counter/role.py
+++ b/opalwick/post/counter/role.py
@@ -42,6 +42,7 @@
 UNSAIDS = 512  # words at most
 UNLINKED = 1.5  # s that a counter which ends waits for a depot without a link to hear the ends that it lacks
 LINKED = 0.5  # s that a depot which is linked and has not echoed yet is waited for: a pulse each way
+YOUNG = 2.0  # s after its start that a counter may not have reached all depots yet: some dials
 DIALLED = 0.3  # s that one that is not among its own is: a connection and a trip between regions, five times
 
 
@@ -84,12 +85,12 @@
         self.orders: list[Start | Stop] = []
         self.serial = self.heavy = 0
         self.confirmed = self.leaving = self.closing = False
+        self.began = now
         self.left_at = 0.0  # when it was told to end
         self.parked_at = math.inf  # when it gave back first what it held
         self.sweep_at = now
         self.prefix = f"{tag(self.node)}.{short(life)}."
         self.counts = {"asked_back": 0, "no_route": 0, "away": 0, "away_octets": 0}
-        self.counts["unclaimed"] = 0
 
     def clock(self, now: float) -> None:
         self.now = now
@@ -132,7 +133,9 @@
         since = self.now - item.since
         if node in self.links:  # it may have been linked just now
             return since < LINKED
-        return node not in self.mine and node in self.called and since < DIALLED
+        # one that should be linked is out of touch, unless this process has just begun to dial
+        dialled = node in self.called if node not in self.mine else self.now - self.began < YOUNG
+        return dialled and since < DIALLED
 
     def fresh(self, node: str) -> bool:
         return self.now - self.heard_here.get(node, -1e9) < LAPSE - MARGIN
@@ -515,8 +518,6 @@
         if item.letter.home and verdict.ran and not item.over:
             self.short.ended(self.rounds.whose(item), self.now)
             item.ran = item.sent.get(order.number, "")
-        if seal and verdict.ran is None:
-            self.counts["unclaimed"] += 1
         self.rounds.result(item, order.key, order.number, verdict, seal, load, kept)
 
     def still(self, order: Start) -> bool:
--- a/tests/test_post_twice.py
+++ b/tests/test_post_twice.py
@@ -8,6 +8,8 @@
 import pytest
 from post_cluster import Cluster
 
+from opalwick.post.wire_pb2 import Letter
+
 
 def test_a_list_of_deliveries_is_not_overtaken_by_what_was_accepted_after_it() -> None:
     """The list was made as the first echo was heard and said with the next words, after those of a request
@@ -73,3 +75,28 @@
     cluster.end(first)
     cluster.run(4.0)
     assert cluster.began[mid] == ["c1"]
+
+
+def test_a_counter_that_has_just_started_waits_for_the_depots_that_it_dials() -> None:
+    """Else it would begin what one depot gives it before it could ask the others."""
+    cluster = Cluster(counters=2, depots=3)
+    mid = cluster.accepted("c1", delay=4.0)
+    first, second = cluster.holders(mid)
+    cluster.run(3.9)
+    cluster.start_counter("c3", 13)
+    cluster.part("c3", second)
+    counter, letter = (
+        cluster.roles["c3"],
+        Letter(mid=mid, host=b"h", target=b"/x", holders=[first, second], until=9.0),
+    )
+    counter.mine = {first, second}
+    counter.rounds.assigned(first, letter)
+    item = counter.rounds.items[mid]
+    assert counter.awaits(second, item)
+    cluster.link("c3", second)
+    cluster.read()
+    assert item.awaited == set()
+    item.awaited = {second}
+    cluster.part("c3", second)
+    cluster.run(0.4)
+    assert not counter.awaits(second, item)  # it is out of touch
