Lab of the post: what follows from pulses alone waits for the next tick, as in the program

Cause: the lab settled a role after each read; the program does not after pulses alone, and the incident's first fault lies in that gap.

--- a/opalwick/lab/post/net.py
+++ b/opalwick/lab/post/net.py
@@ -225,7 +225,8 @@
                 for kind, data in pieces:
                     turn = turn or kind != "pulse"
                     self.take(kind, data)
-                proc.settle(turn)
+                if turn:  # what follows from pulses alone waits for the next tick, as in `Link.read`
+                    proc.settle()
             if ended:
                 self.close()
 
