--- a/opalwick/post/counter/role.py
+++ b/opalwick/post/counter/role.py
@@ -226,7 +226,7 @@
                     self.trace(156, messages=" ".join(word.gone), by=node)
                 self.intake.taken_away(word.gone)
                 self.rounds.taken_away(node, list(word.gone))
-                self.rounds.agreed(node, word.agreed)
+                self.rounds.agreement.agreed(node, word.agreed)
                 if node not in self.untold and word.number == self.rounds.numbers.get(node):
                     # said while words were late it proves nothing; once they are not it is asked for again
                     (self.sure if self.fresh(node) else self.stale).add(node)
--- a/opalwick/post/counter/rounds.py
+++ b/opalwick/post/counter/rounds.py
@@ -12,6 +12,7 @@
 from typing import Any, NamedTuple
 
 from opalwick.chance import Chance
+from opalwick.post.counter.agreement import Agreement
 from opalwick.post.counter.ceilings import USE
 from opalwick.post.counter.desks import SPAN, Desk, Load, Row, rows
 from opalwick.post.counter.routes import Routes
@@ -27,7 +28,6 @@
 PARK = 2.0  # s: what is due later waits at its depots, not here
 AGAIN = 0.02  # s until the first further attempt: what fails at once mostly fails for the message's own sake
 LONGEST = 2.0  # s between attempts at most; then doubled no more
-UNAGREED = 0.05  # s between looks at what waits for depots to agree: as the role looks at the time
 REMEMBER = 30.0  # s that an end is remembered here: an assignment said again is still on its way no longer
 
 
@@ -111,8 +111,7 @@
         self.may_send = may_send
         self.items: dict[str, Item] = {}
         self.due: list[tuple[float, int, Item]] = []
-        self.unagreed: dict[str, Item] = {}  # those whose turn it is, but for depots that have not agreed
-        self.look_at = 0.0  # when those are looked at again, as a depot may be out of touch by then
+        self.agreement = Agreement(self)
         self.serial = 0
         self.routes: Routes | None = None
         self.desks: dict[str, Desk] = {}
@@ -329,7 +328,8 @@
             # who keeps it may have changed; its end is for all that ever did
             known.touched = tuple(dict.fromkeys((*known.touched, *holders)))
             if known.foreign:  # it comes back while a delivery of it is on its way
-                known.foreign, known.awaited, known.since = False, others, self.now
+                known.foreign = False
+                self.agreement.await_from(known, others)
         elif (found := self.ended.get(mid)) is not None:
             self.sends.append((node, "end", found[1]))  # which that depot has missed
             return
@@ -338,34 +338,9 @@
             return
         else:
             known = Item(letter, tuple(holders), self.now)
-            known.awaited = others
+            self.agreement.await_from(known, others)
             self.take(known)
-        for holder in holders:
-            ask = holder in known.awaited
-            self.sends.append((holder, "mine", Mine(mids=[mid], claims=[letter.claim], ask=ask)))
-
-    def agreed(self, node: str, mids: Iterable[str]) -> None:
-        """A depot knows no end of these and no other deliverer."""
-        for mid in mids:
-            if (item := self.items.get(mid)) is not None:
-                item.awaited.discard(node)
-                if not item.awaited and self.unagreed.pop(mid, None) is not None:
-                    self.at(self.now, item)
-
-    def ask_again(self, node: str) -> None:
-        """That depot's answers may have been lost with a link."""
-        asked = [item for item in self.items.values() if node in item.awaited and not item.foreign]
-        if asked:
-            word = Mine(mids=[i.mid for i in asked], claims=[i.claim for i in asked], ask=True)
-            self.sends.append((node, "mine", word))
-
-    def look_at_unagreed(self) -> None:
-        """Those begin whose depots that have not agreed are out of touch by now."""
-        self.look_at = self.now + UNAGREED
-        for mid, item in list(self.unagreed.items()):
-            if item.over or item.foreign or item.until <= self.now or self.may_send(item):
-                del self.unagreed[mid]
-                self.at(self.now, item)
+        self.agreement.tell(known, letter.claim, holders)
 
     def take(self, item: Item) -> None:
         self.items[item.mid] = item
@@ -386,8 +361,7 @@
         return min(self.wake_at, self.due[0][0] if self.due else math.inf)
 
     def tick(self) -> None:
-        if self.unagreed and self.look_at <= self.now:
-            self.look_at_unagreed()
+        self.agreement.tick()
         while self.due and self.due[0][0] <= self.now:
             item = heapq.heappop(self.due)[2]
             item.dated = False
@@ -444,8 +418,7 @@
             return self.end(item, False, "")
         if letter.home not in ("", self.here):
             return self.park(item)
-        if item.awaited and not self.may_send(item):
-            self.unagreed[item.mid] = item
+        if self.agreement.holds_back(item):
             return None
         if self.routes is None or self.routes.gen < letter.gen or not self.may_send(item):
             return self.at(self.now + 0.1, item)
@@ -723,7 +696,7 @@
         for word, missing, _ in self.ending.values():
             if node in missing:
                 self.sends.append((node, "end", word))
-        self.ask_again(node)
+        self.agreement.ask_again(node)
 
     def deliveries_of(self, node: str, under_way: Iterable[str] = ()) -> Mine:
         """All that is delivered here of what that depot keeps, to be said at once. `under_way`: messages that
--- a/opalwick/post/depot/keeping.py
+++ b/opalwick/post/depot/keeping.py
@@ -17,6 +17,7 @@
 from typing import Any, NamedTuple
 
 from opalwick.post.depot.moving import Moving
+from opalwick.post.depot.reconciliation import BATCH, Reconciliation
 from opalwick.post.depot.seal import Seal
 from opalwick.post.home.policy import Policy
 from opalwick.post.names import owner
@@ -48,12 +49,8 @@
 SETTLE = 1.5  # s after its start that a depot waits for what others know: the counters dial within 0.8
 LEAD = 0.05  # s that a message is assigned before it is due: a trip and a sync
 STILL = 0.5  # s between two ticks after which this process stood still: ten times their distance
-BATCH = 500  # names in one word between depots
 REFUSED = 0.2  # s until what a counter has refused is given to another, by half more or less
 AGAIN = 0.6  # s until an assignment that was not acknowledged is said again, to the same counter
-OVERDUE = 3.0  # s after it was due that the other depots are asked whether a message has ended
-SCAN = 1.0  # s between looks for such ones
-SCANNED = 200  # messages looked at each time: some microseconds each
 STEP = 200  # messages assigned in one step, so that others get their turn
 
 UNKNOWN, PENDING, COMPLETE, DEAD, UNSURE = range(5)
@@ -159,9 +156,6 @@
         self.checks: dict[str, tuple[float, Mine]] = {}  # counter: since when it waits to be told, of what
         self.peers_ask: dict[str, list[str]] = {}  # depot: counter processes that it does not hear
         self.deaf: dict[str, float] = {}  # owners that are not heard here: asked for since
-        self.doubted: dict[str, None] = {}  # those whose end others may know: they lost who delivered them
-        self.scan_at = now
-        self.unscanned: list[str] = []  # names of entries that are still to be looked at
         self.waiting: list[tuple[float, str]] = []  # due, without an owner; may hold some that have one again
         self.expiry: list[tuple[float, str]] = []
         self.expected: set[str] | None = None  # counters and depots that are there, once an office has told
@@ -177,6 +171,7 @@
         self.policy: Policy | None = None  # where messages with a home may be
         self.seal = Seal()  # once nothing is to be kept here any more
         self.moving = Moving(self, copies, spread)
+        self.reconciliation = Reconciliation(self)
         self.figures = {"kept": 0, "ended": 0, "assigned": 0, "lapsed": 0, "handed": 0, "refused": 0}
         self.figures |= {"second_successes": 0, "missed_ends": 0}
         self.event: Callable[..., None] = lambda number, **fields: None  # its role sets it
@@ -301,7 +296,7 @@
             entry = self.entries[mid]
             entry.owner, entry.asked_at = "", 0.0
             entry.freed_by = "silent" if silent else "restarted"
-            self.doubted[mid] = None
+            self.reconciliation.doubt(mid)
             heapq.heappush(self.waiting, (entry.due, mid))
             if silent:
                 entry.claim = entry.taken = entry.claim + 1
@@ -529,7 +524,7 @@
         for mid in sorted(self.owned.get(who, set()) - listed):
             if not self.entries[mid].asked_at:  # else it may not have heard of it yet
                 self.own(self.entries[mid], "", "unlisted")
-                self.doubted[mid] = None
+                self.reconciliation.doubt(mid)
                 self.tell_gone(who, mid)  # should it have it all the same, it begins it no more
 
     def tell_gone(self, who: str, mid: str) -> None:
@@ -652,33 +647,6 @@
         if word.last:
             self.awaits.discard(node)
 
-    def ask_about(self, mids: Iterable[str]) -> None:
-        """The other depots that keep these are asked what they know of them: one may have heard an end that
-        was lost on its way here.
-        """
-        asked: dict[str, list[str]] = {}
-        for mid in mids:
-            if (entry := self.entries.get(mid)) is not None:
-                for node in entry.holders:
-                    if node != self.node and node in self.peers:
-                        asked.setdefault(node, []).append(mid)
-        for node, pending in asked.items():
-            for at in range(0, len(pending), BATCH):
-                self.send(node, "have", Have(pending=pending[at : at + BATCH], ends=True))
-
-    def scan(self) -> None:
-        """Asks about some of those that should have ended by now, a part of all at a time."""
-        self.scan_at = self.now + SCAN
-        overdue: list[str] = []
-        if not self.unscanned:
-            self.unscanned = list(self.entries)
-        for mid in self.unscanned[-SCANNED:]:
-            entry = self.entries.get(mid)
-            if entry is not None and entry.due + OVERDUE <= self.now:
-                overdue.append(mid)
-        del self.unscanned[-SCANNED:]
-        self.ask_about(overdue)
-
     def rotten(self, mid: str) -> None:
         """Its octets here are not what was written: this copy is lost, and comes anew from the others."""
         entry = self.entries.get(mid)
@@ -769,11 +737,7 @@
                     self.lapsed(who, silent=True)
         for counter in list(self.checks):
             self.check(counter)
-        if self.doubted:
-            self.ask_about(self.doubted)
-            self.doubted.clear()
-        if self.settled and self.scan_at <= self.now:
-            self.scan()
+        self.reconciliation.tick()
         while self.expiry and self.expiry[0][0] <= self.now:
             self.expire(heapq.heappop(self.expiry)[1])
         if not self.leaving and not still:
