--- a/opalwick/post/counter/role.py
+++ b/opalwick/post/counter/role.py
@@ -128,9 +128,9 @@
         """Whether that depot, which keeps a message and has not agreed that it is delivered here, is still
         asked. One that is out of touch is not waited for.
         """
-        if self.fresh(node):
-            return True
         since = self.now - item.since
+        if self.fresh(node):  # one of an earlier version never answers
+            return since < LAPSE - MARGIN
         if node in self.links:  # it may have been linked just now
             return since < LINKED
         # one that should be linked is out of touch, unless this process has just begun to dial
--- a/tests/test_post_twice.py
+++ b/tests/test_post_twice.py
@@ -8,6 +8,7 @@
 import pytest
 from post_cluster import Cluster
 
+from opalwick.post.counter.agreement import Agreement
 from opalwick.post.wire_pb2 import Letter
 
 
@@ -100,3 +101,15 @@
     cluster.part("c3", second)
     cluster.run(0.4)
     assert not counter.awaits(second, item)  # it is out of touch
+
+
+def test_a_depot_of_an_earlier_version_that_never_answers_holds_nothing_up_for_long(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Agreement, "agreed", lambda self, node, mids: None)
+    cluster = Cluster(counters=2, depots=3)
+    mid = cluster.accepted("c1", delay=4.0)
+    cluster.run(4.0 + 1.0)
+    assert cluster.began[mid] == []
+    cluster.run(1.0)
+    assert len(cluster.began[mid]) == 1
