--- a/tests/test_post_twice.py
+++ b/tests/test_post_twice.py
@@ -5,11 +5,13 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import pytest
 from post_cluster import Cluster
 
 from opalwick.post.counter.agreement import Agreement
-from opalwick.post.wire_pb2 import Letter
+from opalwick.post.wire_pb2 import Hello, Keep, Letter, Mine
 
 
 def test_a_list_of_deliveries_is_not_overtaken_by_what_was_accepted_after_it() -> None:
@@ -113,3 +115,30 @@
     assert cluster.began[mid] == []
     cluster.run(1.0)
     assert len(cluster.began[mid]) == 1
+
+
+def test_a_copy_that_was_on_its_way_as_the_message_ended_is_told() -> None:
+    """Its new holder would have had it delivered, once the others were stopped."""
+    cluster = Cluster(counters=2, depots=3)
+    mid = cluster.accepted("c1")
+    cluster.run(0.1)
+    first, _ = cluster.holders(mid)
+    keeping = cluster.roles[first].keeping
+    target = next(node for node in ("d1", "d2", "d3") if node not in cluster.holders(mid))
+    keeping.moving.on_way[mid] = target, cluster.now, (first, target)
+    keeping.fetch(mid, ("move", target, (first, target)))
+    cluster.settle(first)
+    cluster.answer(mid)
+    cluster.read()
+    assert mid in cluster.roles[target].keeping.ends
+
+
+def test_words_of_an_earlier_life_of_a_counter_are_no_claim_of_the_later_one() -> None:
+    cluster = Cluster(counters=2, depots=2)
+    depot, old = cluster.roles["d1"], cluster.ends["d1", "c1"]
+    later = Hello(node="c1", role="counter", zone="b", life=old.peer.life + 1)
+    depot.joined(SimpleNamespace(peer=later, heard_at=cluster.now, say=lambda kind, word: None))
+    depot.heard(old, "keep", Keep(letter=Letter(mid="m", holders=["d1", "d2"], due=9.0, until=90.0)))
+    assert depot.keeping.entries["m"].owner == ""
+    depot.heard(old, "mine", Mine(mids=["m"], claims=[7]))
+    assert depot.keeping.entries["m"].owner == ""
