--- a/bench/hard_days.py
+++ b/bench/hard_days.py
@@ -133,10 +133,8 @@
     "disk_full",
 }
 LEFT_OVER = 9.0  # s from the day's begin after which no trouble begins, where restarts are to follow
-RESTARTS = (
-    ("store", 12.0),
-    ("front", 6.0),
-)  # s before the day's end that these machines are restarted by plan
+# machines that are restarted by plan, and how many seconds before the day's end
+RESTARTS = (("store", 12.0), ("front", 6.0))
 CLOSINGS = (
     "",
     "power_off_all",
--- a/opalwick/lab/commands.py
+++ b/opalwick/lab/commands.py
@@ -5,6 +5,7 @@
 import json
 import sys
 from collections.abc import Callable
+from dataclasses import asdict
 from functools import wraps
 from pathlib import Path
 from typing import Annotated, Any
@@ -462,7 +463,7 @@
         f"{len(result.broken)} broken; sent again: {result.repeats}"
     )
     if as_json:
-        typer.echo(json.dumps(result.as_json))
+        typer.echo(json.dumps(asdict(result)))
     if result.broken:
         raise typer.Exit(BROKEN)
     if result.void == result.seeds:
--- a/opalwick/lab/post/soak.py
+++ b/opalwick/lab/post/soak.py
@@ -12,14 +12,14 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
 from opalwick.checked import Seconds
-from opalwick.lab.post.day import Fault, PostDay, read
+from opalwick.lab.post.day import ROLES, Fault, PostDay, read
 from opalwick.lab.post.kinds import KINDS
 from opalwick.lab.post.run import run
 from opalwick.post.runs import Cause, Event, read_events, repeats
@@ -40,7 +40,6 @@
     "broken_off",
     "crash",
 )
-ROLES = ("counter", "depot", "office")
 FIRST = (0.5, 2.0)  # s after the traffic's begin: when the first trouble begins
 LASTS = (1.0, 3.5)  # s
 CALM = 1.0  # s more than `contact` between the last trouble and the first restart
@@ -78,10 +77,6 @@
             if not report["void"] or breach["rule"] == "FAULT":
                 self.broken.append({"seed": seed, **breach})
 
-    @property
-    def as_json(self) -> dict[str, Any]:
-        return asdict(self)
-
 
 def drawn_troubles(draw: random.Random) -> list[Fault]:
     """Two or three, each of which begins while the one before lasts."""
