Lab on sockets: runs side by side share no port; a wait for what a test awaits

Each was traced.

test_the_same_is_seen_of_processes. Cause: seven processes draw ports at the same moment from one range; a port is tried by a bind, released, and bound by its member only when that is up. Two runs can draw the same one, the member that comes second ends with "Address already in use", and the error showed the log of the first member only, which was empty. Ruled out: a slow machine; the bound is 20 s and the whole run took 171 s, its usual time. Change: each process claims whole blocks of ports by a listener that lives as long as it does (lab/sockets/ports.py). NotReady names each scheduler that is missing, its exit code and its own log.

test_sighup_moves_the_watch_in_mid_call_and_keeps_the_rest. Cause: it looked 50 ms after the signal, and the watch's new call had not come by then. Change: the test waits for the line logged and for both calls, and then as long as before for what must not come; no assertion is changed.

tests/test_lab_sockets.py, test_lab_fleet.py and test_scheduler.py pass (65 tests, four at once).

--- a/opalwick/lab/fleet/sockets.py
+++ b/opalwick/lab/fleet/sockets.py
@@ -23,7 +23,7 @@
 from opalwick.lab.fleet.virtual import history
 from opalwick.lab.ledger import Ledger
 from opalwick.lab.sockets.stage import READY, SLACK, Stage, dies_with_its_parent
-from opalwick.lab.sockets.wire import HOST, free_port
+from opalwick.lab.sockets.ports import HOST, free_port
 from opalwick.lab.virtual import HELD
 from opalwick.lab.world.worker import Worker
 
--- a/opalwick/lab/sockets/relays.py
+++ b/opalwick/lab/sockets/relays.py
@@ -12,7 +12,8 @@
 import gevent
 from gevent import socket
 
-from opalwick.lab.sockets.wire import HOST, Address, listener, reset
+from opalwick.lab.sockets.ports import HOST
+from opalwick.lab.sockets.wire import Address, listener, reset
 
 
 class Way:
--- a/opalwick/lab/sockets/stage.py
+++ b/opalwick/lab/sockets/stage.py
@@ -26,13 +26,15 @@
 from opalwick.lab.sockets.clock import RealAgenda
 from opalwick.lab.sockets.fleet import ListServer, WorkerServer
 from opalwick.lab.sockets.relays import TcpRelay, Way, Words
-from opalwick.lab.sockets.wire import HOST, Address, free_port
+from opalwick.lab.sockets.ports import HOST, free_port
+from opalwick.lab.sockets.wire import Address
 from opalwick.lab.virtual import HELD, slowest_link
 from opalwick.lab.world.worker import Worker
 from opalwick.lab.world.world import World
 
 # faults that need a relay on each link
 LINKS = {"silent_links", "one_sided", "refused", "half_resets", "slow_links"}
+LOG_TAIL = 2000  # characters of a log that stand in an error's message
 READY = 20.0  # seconds within which all schedulers must be ready: a hundred times the usual
 # as each limit on sockets is 50 ms longer, and a process of the day may be late by as much again
 SLACK = 0.15
@@ -325,6 +327,19 @@
         if self.words:
             self.words.close()
 
+    def not_ready(self) -> str:
+        """Of each scheduler that did not come up: whether it ended, and the end of its log."""
+        found = []
+        for i, wait in self.waits.items():
+            if wait.value:
+                continue
+            process = self.running[i]
+            code = None if process is None else process.poll()
+            state = f"not ready within {READY:g} s" if code is None else f"ended by itself with {code}"
+            log = (self.logs / f"s{i}.log").read_text()[-LOG_TAIL:]
+            found.append(f"{self.world.names[i]} {state}; its log: {log}")
+        return "\n".join(found)
+
     def begin(self) -> None:
         begin(self.world)
 
@@ -334,10 +349,7 @@
                 self.start(i)
             gevent.joinall(list(self.waits.values()))
             if not all(wait.value for wait in self.waits.values()):
-                raise NotReady(
-                    "a scheduler was not ready in time; its log: "
-                    + (self.logs / "s0.log").read_text()[-2000:]
-                )
+                raise NotReady(self.not_ready())
             self.agenda.restart()
             for served in self.lists:
                 served.unix = time.time()
--- a/opalwick/lab/sockets/wire.py
+++ b/opalwick/lab/sockets/wire.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import errno
-import random
 import socket as plain
 import struct
 from collections.abc import Callable
@@ -14,37 +12,14 @@
 from gevent import socket
 from gevent.queue import Queue
 
+from opalwick.lab.sockets.ports import HOST
 from opalwick.protocol.http import Malformed, Message, Parser
 from opalwick.transport.limits import Limits, within
 
 Address = tuple[str, int]
-HOST = "127.0.0.1"
-# below the ports that the kernel deals out for outgoing connections: one of those could be taken in between
-PORTS = (20000, 32000)
 LIMITS: Limits = within(4096, 512, 20000, 10.0, 0.25, 20.0, 10.0)
 
 
-_GIVEN: set[int] = set()  # ports handed out: one that is not bound yet looks free to the next who asks
-
-
-def free_port(draw: random.Random, kind: int = plain.SOCK_STREAM) -> int:
-    """A port that nobody has now, and that was given to nobody before. OSError where there is none."""
-    for _ in range(500):
-        port = draw.randrange(*PORTS)
-        if port in _GIVEN:
-            continue
-        with plain.socket(plain.AF_INET, kind) as tried:
-            try:
-                tried.bind((HOST, port))
-            except OSError:
-                continue
-            _GIVEN.add(port)
-            if len(_GIVEN) > (PORTS[1] - PORTS[0]) // 2:  # of days long over
-                _GIVEN.clear()
-            return port
-    raise OSError(errno.EADDRINUSE, "no free port found")
-
-
 def listener(port: int, backlog: int = 256, host: str = HOST) -> Any:
     sock = socket.socket(plain.AF_INET, plain.SOCK_STREAM)
     sock.setsockopt(plain.SOL_SOCKET, plain.SO_REUSEADDR, 1)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -4,7 +4,7 @@
 
 import re
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import replace
 from pathlib import Path
@@ -421,6 +421,13 @@
     logger.remove(number)
 
 
+def wait_until(seen: Callable[[], bool], seconds: float = 5.0) -> None:
+    """Lets other greenlets run until `seen`; returns after `seconds` in any case: the caller asserts."""
+    until = time.monotonic() + seconds
+    while not seen() and time.monotonic() < until:
+        gevent.sleep(0.005)
+
+
 class Plain:
     """A socket of a pair, which takes no TCP options."""
 
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -26,6 +26,7 @@
 from opalwick.lab.fleet.sockets import play as play_sockets
 from opalwick.lab.fleet.virtual import play
 from opalwick.lab.ledger import pack
+from opalwick.lab.sockets.stage import NotReady
 
 FLEET = """
 title = "stand-ins"
@@ -98,6 +99,12 @@
         assert days[name][0] in seen if name in days else seen == set(), (day, name, seen)
 
 
+def test_a_member_that_ends_as_it_starts_is_named_with_its_code_and_its_log(tmp_path: Path) -> None:
+    program = ["-c", "import sys; sys.exit('no such place')"]
+    with pytest.raises(NotReady, match=r"^s0 ended by itself with 1; its log: no such place\n\ns1 ended"):
+        play_sockets(fleet("stopped"), 3, tmp_path, program)
+
+
 def test_one_seed_gives_one_history() -> None:
     day = drawn(read("mixed"), 1, 7)
     small = msgspec.structs.replace(day, members=4, workers=4)
--- a/tests/test_lab_sockets.py
+++ b/tests/test_lab_sockets.py
@@ -13,9 +13,10 @@
 from opalwick.checked import Seconds
 from opalwick.lab.experiment import judged
 from opalwick.lab.sockets.clock import RealAgenda
+from opalwick.lab.sockets.ports import HOST, free_port
 from opalwick.lab.sockets.relays import TcpRelay, Way, Words
 from opalwick.lab.sockets.stage import play
-from opalwick.lab.sockets.wire import HOST, free_port, listener
+from opalwick.lab.sockets.wire import listener
 
 
 class Echo:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -13,7 +13,7 @@
 import gevent
 import gevent.socket
 from gevent.event import Event
-from helper import SETTINGS, Stand, chunked, door, logged, post
+from helper import SETTINGS, Stand, chunked, door, logged, post, wait_until
 from test_discovery import entry, told
 
 from opalwick.program.configuration import BadConfiguration, Configuration, read
@@ -364,9 +364,12 @@
             lambda: served.configure(**other),
             lambda: served.configure(discovery="%s:%d" % there.place),
         ):
-            served.found = found
+            lines, served.found = len(said), found
             served.again.set()
+            wait_until(lambda lines=lines: len(said) > lines)
             gevent.sleep(0.05)
+        wait_until(lambda: len(there.heard) == 2)
+        gevent.sleep(0.05)
     assert [text.split(" HTTP")[0] for text in there.heard] == [
         "GET /api/targets?since=41&timeout_ms=1",
         "GET /api/targets?since=42&timeout_ms=10000",
