No circles of imports in the message path; ends and transfers as named types

Cause: three circles (rounds and agreement, keeping with moving and reconciliation, role and window), and ends, copies on their way and untold ends as bare tuples read by position. Change, no behaviour in it: `counter/item.py` and `depot/records.py` hold the types, `depot/messages.py` and `window.Host` the protocols of what a part needs of its owner; `Agreement` is given what it uses in place of the rounds. Left: the lab's two circles.

--- a/opalwick/lab/post/roles.py
+++ b/opalwick/lab/post/roles.py
@@ -13,8 +13,8 @@
 from opalwick.post.counter.agent import ACCEPTS, LAST
 from opalwick.post.counter.desks import load as read_load
 from opalwick.post.counter.front import decode, fault
+from opalwick.post.counter.item import Start
 from opalwick.post.counter.role import Counter
-from opalwick.post.counter.rounds import Start
 from opalwick.post.depot.agent import GATHER, load, on_disk
 from opalwick.post.depot.role import Depot
 from opalwick.post.office.agent import LOOK, REMEMBER
--- a/opalwick/lab/verify/depots.py
+++ b/opalwick/lab/verify/depots.py
@@ -19,11 +19,12 @@
 from opalwick.lab.verify.rows import Rows
 from opalwick.lab.verify.words import Said, packed, unpacked
 from opalwick.post.counter.desks import Desk, Waiting
+from opalwick.post.counter.item import Start
 from opalwick.post.counter.role import Counter
-from opalwick.post.counter.rounds import Start
 from opalwick.post.counter.routes import Routes
 from opalwick.post.depot.agent import load, on_disk
-from opalwick.post.depot.keeping import COMPLETE, Fetch, Write
+from opalwick.post.depot.keeping import COMPLETE
+from opalwick.post.depot.records import Fetch, Write
 from opalwick.post.depot.role import Depot
 from opalwick.post.settings import Settings, parse
 from opalwick.post.verdict import Verdict
--- a/opalwick/lab/verify/mutants.py
+++ b/opalwick/lab/verify/mutants.py
@@ -43,8 +43,9 @@
 from opalwick.post.counter.intake import Intake
 from opalwick.post.counter.role import Counter
 from opalwick.post.depot import keeping
-from opalwick.post.depot.keeping import Keeping, Send, Write
+from opalwick.post.depot.keeping import Keeping
 from opalwick.post.depot.moving import Moving
+from opalwick.post.depot.records import Send, Write
 from opalwick.post.depot.seal import Seal
 from opalwick.post.office import numbers
 from opalwick.post.office.duties import Duties
--- a/opalwick/post/counter/agent.py
+++ b/opalwick/post/counter/agent.py
@@ -11,8 +11,8 @@
 from opalwick.post import events
 from opalwick.post.counter.delivery import Delivery, Meeting
 from opalwick.post.counter.front import Counting
+from opalwick.post.counter.item import Start
 from opalwick.post.counter.role import Counter
-from opalwick.post.counter.rounds import Start
 from opalwick.post.link import Process, Shell
 from opalwick.post.settings import Settings
 from opalwick.post.verdict import Verdict
--- a/opalwick/post/counter/role.py
+++ b/opalwick/post/counter/role.py
@@ -16,8 +16,9 @@
 from opalwick.post.counter.front import LATER, fault
 from opalwick.post.counter.holding import Holding
 from opalwick.post.counter.intake import Intake
+from opalwick.post.counter.item import Item, Start, Stop
 from opalwick.post.counter.known import known
-from opalwick.post.counter.rounds import PARK, Item, Rounds, Start, Stop
+from opalwick.post.counter.rounds import PARK, Rounds
 from opalwick.post.depot.keeping import LAPSE, MARGIN, UNKNOWN
 from opalwick.post.home.guard import Guard
 from opalwick.post.home.policy import named
@@ -181,7 +182,7 @@
         if not self.called:
             return
         used = {node for item in self.rounds.items.values() for node in item.touched}
-        used |= {node for _, missing, _ in self.rounds.ending.values() for node in missing}
+        used |= {node for untold in self.rounds.ending.values() for node in untold.missing}
         used |= {node for wait in self.intake.waits.values() for node in wait.asked}
         for node, at in list(self.called.items()):
             if self.now - at > CALLED and node not in used:
@@ -607,7 +608,7 @@
         return (
             not self.rounds.items
             and not self.intake.waits
-            and not any(missing & linked for _, missing, _ in self.rounds.ending.values())
+            and not any(untold.missing & linked for untold in self.rounds.ending.values())
         )
 
     def figures(self) -> dict[str, Any]:
--- a/opalwick/post/counter/rounds.py
+++ b/opalwick/post/counter/rounds.py
@@ -9,12 +9,13 @@
 import heapq
 import math
 from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple
+from typing import Any
 
 from opalwick.chance import Chance
 from opalwick.post.counter.agreement import Agreement
 from opalwick.post.counter.ceilings import USE
 from opalwick.post.counter.desks import SPAN, Desk, Load, Row, rows
+from opalwick.post.counter.item import Item, RememberedEnd, Start, Stop, UntoldEnd
 from opalwick.post.counter.routes import Routes
 from opalwick.post.counter.shares import budget, chosen
 from opalwick.post.home.policy import Policy, named
@@ -22,7 +23,7 @@
 from opalwick.post.maintenance.resting import Resting
 from opalwick.post.settings import Settings
 from opalwick.post.verdict import Verdict
-from opalwick.post.wire_pb2 import Conf, End, Letter, Mine, Park, Refuse, Route, Tried, Worker
+from opalwick.post.wire_pb2 import Conf, End, Letter, Mine, Park, Refuse, Tried, Worker
 from opalwick.routing.reducer import Answer, Close, Final, Send
 
 PARK = 2.0  # s: what is due later waits at its depots, not here
@@ -31,71 +32,6 @@
 REMEMBER = 30.0  # s that an end is remembered here: an assignment said again is still on its way no longer
 
 
-class Start(NamedTuple):
-    item: Item
-    key: Any
-    number: int
-    place: Any  # host, port, id
-    within: float  # s that the worker has
-    away: bool  # in another zone
-
-
-class Stop(NamedTuple):
-    key: Any
-    number: int
-
-
-class Item:
-    """A message that this counter delivers. Times are its own clock's."""
-
-    __slots__ = (
-        "aim_at",
-        "attempt",
-        "awaited",
-        "claim",
-        "dated",
-        "due",
-        "fails",
-        "foreign",
-        "given_up",
-        "letter",
-        "lost",
-        "mid",
-        "out",
-        "over",
-        "partner",
-        "queued",
-        "ran",
-        "route",
-        "sent",
-        "since",
-        "svc",
-        "touched",
-        "turned",
-        "until",
-        "use_by",
-    )
-
-    def __init__(self, letter: Letter, touched: tuple[str, ...], now: float) -> None:
-        self.letter, self.mid, self.touched = letter, letter.mid, touched
-        self.due, self.until = now + letter.due, now + letter.until
-        self.aim_at = self.due  # when it was due first
-        self.fails, self.lost, self.claim = letter.fails, letter.lost, letter.claim
-        self.attempt, self.turned = 0, 0
-        self.out: dict[int, float] = {}  # deliveries on their way: when each was sent
-        self.over = self.given_up = self.queued = False
-        self.use_by = math.inf  # when its permit is over, where it needs one
-        self.foreign = False  # another delivers it by now: no further attempt here
-        self.awaited = set[str]()  # depots that keep it and have not agreed that it is delivered here
-        self.since = now  # when it came here
-        self.dated = False  # it has its turn in `due`
-        self.route: Route | None = None
-        self.svc = ""  # the desk's name
-        self.partner = ""  # whose it is, where it has a home
-        self.sent: dict[int, str] = {}  # deliveries: the country, where it has a home
-        self.ran = ""  # that where its success ran
-
-
 def desk_name(svc: str, home: str) -> str:
     """No service's name has that letter in it."""
     return f"{svc}\x1f{home}" if home else svc
@@ -111,7 +47,7 @@
         self.may_send = may_send
         self.items: dict[str, Item] = {}
         self.due: list[tuple[float, int, Item]] = []
-        self.agreement = Agreement(self)
+        self.agreement = Agreement(self.items, self.send, self.take_turn, may_send)
         self.serial = 0
         self.routes: Routes | None = None
         self.desks: dict[str, Desk] = {}
@@ -124,10 +60,8 @@
         self.each: dict[tuple[str, int], int] = {}  # connections to an address at most
         self.near = 1  # counters in this one's country
         self.named: dict[str, list[str]] = {}  # by service: desks of homes
-        self.ending: dict[
-            str, tuple[End, set[str], float]
-        ] = {}  # ends, and who has not said that it has them
-        self.ended: dict[str, tuple[float, End]] = {}  # when it was known, and how it did
+        self.ending: dict[str, UntoldEnd] = {}  # by message
+        self.ended: dict[str, RememberedEnd] = {}  # by message
         self.numbers: dict[str, int] = {}  # of what each depot was told to be delivered here, as a whole
         self.by_service: dict[str, int] = {}  # ends told, since the start
         self.leaving = False
@@ -136,8 +70,8 @@
         self.shelves: dict[str, Shelf] = {}  # by desk: those that wait for a worker at home
         self.sends: list[tuple[str, str, Any]] = []
         self.orders: list[Start | Stop] = []
-        self.figures = {"delivered": 0, "failed": 0, "dead": 0, "unknown": 0, "parked": 0, "turned_away": 0}
-        self.figures |= {"begun_after_end": 0, "second_successes": 0}
+        counted = ("delivered", "failed", "dead", "unknown", "parked", "turned_away")
+        self.figures = dict.fromkeys((*counted, "begun_after_end", "second_successes"), 0)
 
     def clock(self, now: float) -> None:
         self.now = now
@@ -329,16 +263,16 @@
             known.touched = tuple(dict.fromkeys((*known.touched, *holders)))
             if known.foreign:  # it comes back while a delivery of it is on its way
                 known.foreign = False
-                self.agreement.await_from(known, others)
+                self.agreement.await_from(known, others, self.now)
         elif (found := self.ended.get(mid)) is not None:
-            self.sends.append((node, "end", found[1]))  # which that depot has missed
+            self.send(node, "end", found.word)  # which that depot has missed
             return
         elif self.leaving or self.routes is None:
-            self.sends.append((node, "refuse", Refuse(mid=mid, claim=letter.claim)))
+            self.send(node, "refuse", Refuse(mid=mid, claim=letter.claim))
             return
         else:
             known = Item(letter, tuple(holders), self.now)
-            self.agreement.await_from(known, others)
+            self.agreement.await_from(known, others, self.now)
             self.take(known)
         self.agreement.tell(known, letter.claim, holders)
 
@@ -346,6 +280,13 @@
         self.items[item.mid] = item
         self.at(item.due, item)
 
+    def send(self, node: str, kind: str, word: Any) -> None:
+        self.sends.append((node, kind, word))
+
+    def take_turn(self, item: Item) -> None:
+        """It is tried at the next tick."""
+        self.at(self.now, item)
+
     def at(self, when: float, item: Item) -> None:
         if item.foreign:
             self.drop(item)
@@ -362,7 +303,7 @@
         return min(self.wake_at, self.due[0][0] if self.due else math.inf)
 
     def tick(self) -> None:
-        self.agreement.tick()
+        self.agreement.tick(self.now)
         while self.due and self.due[0][0] <= self.now:
             item = heapq.heappop(self.due)[2]
             item.dated = False
@@ -380,11 +321,11 @@
 
     def forget(self) -> None:
         """Now and then: what need not be remembered any more."""
-        for mid, (at, _) in list(self.ended.items()):
-            if self.now - at > REMEMBER and mid not in self.ending:
+        for mid, ended in list(self.ended.items()):
+            if self.now - ended.at > REMEMBER and mid not in self.ending:
                 del self.ended[mid]
-        for mid, (_, _, since) in list(self.ending.items()):
-            if self.now - since > 4.0 * REMEMBER:  # its other holders have it, and tell
+        for mid, untold in list(self.ending.items()):
+            if self.now - untold.since > 4.0 * REMEMBER:  # its other holders have it, and tell
                 del self.ending[mid]
         for shelf in self.shelves.values():  # those that may wait no longer
             for item in shelf.sift(lambda item: item.over or item.foreign or item.until <= self.now):
@@ -576,7 +517,7 @@
     def succeeded_before(self, mid: str, seal: str) -> bool:
         """Whether another run of it than the one with that seal has succeeded."""
         found = self.ended.get(mid)
-        return found is not None and found[1].complete and found[1].seal != seal
+        return found is not None and found.word.complete and found.word.seal != seal
 
     def judge(self, item: Item, verdict: Verdict, seal: str) -> None:
         """What it means for the message."""
@@ -607,15 +548,15 @@
 
     def tell(self, item: Item, kind: str, word: Any) -> None:
         for node in item.touched:
-            self.sends.append((node, kind, word))
+            self.send(node, kind, word)
 
     def end(self, item: Item, complete: bool, seal: str) -> None:
         self.drop(item)
         if not complete:
             self.figures["dead"] += 1
         word = End(mid=item.mid, complete=complete, seal=seal, country=item.ran if complete else "")
-        self.ending[item.mid] = word, set(item.touched), self.now
-        self.ended[item.mid] = self.now, word
+        self.ending[item.mid] = UntoldEnd(word, set(item.touched), self.now)
+        self.ended[item.mid] = RememberedEnd(self.now, word)
         svc = item.route.svc if item.route is not None else item.svc
         self.by_service[svc] = self.by_service.get(svc, 0) + 1
         self.tell(item, "end", word)
@@ -623,7 +564,7 @@
     def has_end(self, node: str, mid: str) -> None:
         """A depot has it on its disk."""
         if mid in self.ending:
-            _, missing, _ = self.ending[mid]
+            missing = self.ending[mid].missing
             missing.discard(node)
             if not missing:
                 del self.ending[mid]
@@ -637,7 +578,7 @@
                 item.foreign = True
                 for holder in item.touched:
                     if holder != node:
-                        self.sends.append((holder, "refuse", Refuse(mid=mid, claim=item.claim)))
+                        self.send(holder, "refuse", Refuse(mid=mid, claim=item.claim))
                 if not item.out:
                     self.withdraw(item)
                     self.drop(item)
@@ -647,9 +588,9 @@
         if (item := self.items.get(mid)) is not None:
             item.touched = holders
         elif (found := self.ended.get(mid)) is not None:
-            self.ending[mid] = found[1], set(holders), self.now
+            self.ending[mid] = UntoldEnd(found.word, set(holders), self.now)
             for node in holders:
-                self.sends.append((node, "end", found[1]))
+                self.send(node, "end", found.word)
 
     def drop(self, item: Item) -> None:
         """It may have been taken away and assigned here again since: that is another item, and stays."""
@@ -664,7 +605,7 @@
 
     def ended_elsewhere(self, word: End) -> None:
         """A depot knows that it has ended. It may be one that is not accepted here yet."""
-        self.ended.setdefault(word.mid, (self.now, word))
+        self.ended.setdefault(word.mid, RememberedEnd(self.now, word))
         if (item := self.items.get(word.mid)) is not None:
             self.drop(item)
 
@@ -699,9 +640,9 @@
         """A depot is there again: it is told the ends that it has not confirmed, and asked anew what it has
         not answered.
         """
-        for word, missing, _ in self.ending.values():
-            if node in missing:
-                self.sends.append((node, "end", word))
+        for untold in self.ending.values():
+            if node in untold.missing:
+                self.send(node, "end", untold.word)
         self.agreement.ask_again(node)
 
     def deliveries_of(self, node: str, under_way: Iterable[str] = ()) -> Mine:
--- a/opalwick/post/counter/status.py
+++ b/opalwick/post/counter/status.py
@@ -7,8 +7,8 @@
 from opalwick.interface import Phase
 from opalwick.post.counter.ceilings import SAVED
 from opalwick.post.counter.desks import Desk
+from opalwick.post.counter.item import Item
 from opalwick.post.counter.role import HEAVY, Counter
-from opalwick.post.counter.rounds import Item
 from opalwick.post.names import split
 from opalwick.post.operators import since
 
@@ -88,8 +88,8 @@
 def status(role: Counter) -> dict[str, Any]:
     r, why = role.rounds, unready(role)
     missing: dict[str, int] = {}
-    for _, nodes, _ in r.ending.values():
-        for node in nodes:
+    for untold in r.ending.values():
+        for node in untold.missing:
             missing[node] = missing.get(node, 0) + 1
     return {
         "ready": not why,
@@ -116,7 +116,7 @@
         "ends": {
             "waiting": len(r.ending),
             "missing": missing,
-            "oldest": max((role.now - at for _, _, at in r.ending.values()), default=0.0),
+            "oldest": max((role.now - untold.since for untold in r.ending.values()), default=0.0),
         },
         "desks": {
             name.replace("\x1f", " at "): desk_status(desk, role.now)
--- a/opalwick/post/depot/agent.py
+++ b/opalwick/post/depot/agent.py
@@ -13,7 +13,7 @@
 
 from opalwick.post import events
 from opalwick.post.depot.disk import Disk
-from opalwick.post.depot.keeping import Fetch, Write
+from opalwick.post.depot.records import Fetch, Write
 from opalwick.post.depot.role import Depot
 from opalwick.post.files import broken, set_aside
 from opalwick.post.home.audit import window
--- a/opalwick/post/depot/keeping.py
+++ b/opalwick/post/depot/keeping.py
@@ -14,10 +14,11 @@
 import math
 import zlib
 from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple
+from typing import Any
 
 from opalwick.post.depot.moving import Moving
 from opalwick.post.depot.reconciliation import BATCH, Reconciliation
+from opalwick.post.depot.records import Entry, Fetch, KnownEnd, Send, Write
 from opalwick.post.depot.seal import Seal
 from opalwick.post.home.policy import Policy
 from opalwick.post.names import owner
@@ -56,66 +57,6 @@
 UNKNOWN, PENDING, COMPLETE, DEAD, UNSURE = range(5)
 
 
-class Entry:
-    """A message that has not ended. Times are this depot's clock."""
-
-    __slots__ = (
-        "asked_at",
-        "claim",
-        "due",
-        "fails",
-        "freed_by",
-        "holders",
-        "home",
-        "lost",
-        "mid",
-        "owner",
-        "size",
-        "taken",
-        "until",
-    )
-
-    def __init__(
-        self,
-        mid: str,
-        holders: tuple[str, ...],
-        due: float,
-        until: float,
-        fails: int = 0,
-        lost: int = 0,
-        size: int = 0,
-        home: str = "",
-    ) -> None:
-        """`size`: octets on the disk. `home`: the country that it must not leave."""
-        self.size, self.home = size, home
-        self.mid, self.holders, self.due, self.until = mid, holders, due, until
-        self.claim, self.owner, self.fails, self.lost = 0, "", fails, lost
-        self.taken = 0  # who has a number under this lost it by its silence
-        self.asked_at = 0.0  # when it was assigned to its owner, which has not said that it has it
-        self.freed_by = ""  # why it has no owner, as traces tell it; empty: it never had one here
-
-
-class Write(NamedTuple):
-    """`then`: words for nodes, each once this is synced."""
-
-    kind: str
-    fields: tuple[Any, ...]
-    then: tuple[tuple[str, str, Any], ...] = ()
-
-
-class Send(NamedTuple):
-    node: str
-    kind: str
-    word: Any
-
-
-class Fetch(NamedTuple):
-    """The message's octets from the disk, to be handed to `fetched` with this reason."""
-
-    mid: str
-    why: tuple[Any, ...]
-
-
 class Counter:
     """A counter as this depot sees it."""
 
@@ -126,6 +67,10 @@
         self.linked, self.ready, self.leaving, self.given = True, False, False, 0
 
 
+def untold(number: int, **fields: Any) -> None:
+    """Takes an event that nobody listens to."""
+
+
 class Keeping:
     def __init__(
         self,
@@ -144,8 +89,7 @@
         self.started = self.ticked = now
         self.waited = False  # with judging, as it had stood still
         self.entries: dict[str, Entry] = {}
-        # complete, seal, kept until, who kept the message
-        self.ends: dict[str, tuple[bool, str, float, tuple[str, ...]]] = {}
+        self.ends: dict[str, KnownEnd] = {}  # by message
         self.owned: dict[str, set[str]] = {}
         self.counters: dict[str, Counter] = {}
         self.asked: list[tuple[float, str]] = []  # when to look whether an assignment was acknowledged
@@ -172,12 +116,11 @@
         self.seal = Seal()  # once nothing is to be kept here any more
         self.moving = Moving(self, copies, spread)
         self.reconciliation = Reconciliation(self)
-        self.figures = {"kept": 0, "ended": 0, "assigned": 0, "lapsed": 0, "handed": 0, "refused": 0}
-        self.figures |= {"second_successes": 0, "missed_ends": 0}
-        self.event: Callable[..., None] = lambda number, **fields: None  # its role sets it
-        self.trace: Callable[..., None] = lambda number, **fields: (
-            None
-        )  # of single messages; its role sets it
+        counted = ("kept", "ended", "assigned", "lapsed", "handed", "refused")
+        self.figures = dict.fromkeys((*counted, "second_successes", "missed_ends"), 0)
+        # `number` of the catalogue, and its fields; the role sets both. `trace`: of single messages
+        self.event: Callable[..., None] = untold
+        self.trace: Callable[..., None] = untold
 
     def clock(self, now: float) -> None:
         self.now = now
@@ -205,7 +148,7 @@
     def loaded_end(
         self, mid: str, complete: bool, seal: str, until: float, holders: tuple[str, ...] = ()
     ) -> None:
-        self.ends[mid] = complete, seal, until, holders
+        self.ends[mid] = KnownEnd(complete, seal, until, holders)
         heapq.heappush(self.expiry, (until, mid))
 
     def loaded_dead(self, mid: str, size: int) -> None:
@@ -376,10 +319,11 @@
 
     def compare_successes(self, node: str, word: End) -> None:
         """Two runs of one message that both succeeded, and whose answers were both read."""
-        complete, seal, *_ = self.ends[word.mid]
-        if complete and word.complete and seal and word.seal and seal != word.seal:
+        known = self.ends[word.mid]
+        both_read = known.complete and word.complete and known.seal and word.seal
+        if both_read and known.seal != word.seal:
             self.figures["second_successes"] += 1
-            self.event(305, message=word.mid, seal=word.seal, known=seal, by=node)
+            self.event(305, message=word.mid, seal=word.seal, known=known.seal, by=node)
 
     def tell_end(self, mid: str, nodes: Iterable[str]) -> None:
         for node in nodes:
@@ -387,8 +331,9 @@
 
     def end_of(self, mid: str) -> End:
         """For other depots: with how long a copy of the message may wait anywhere."""
-        complete, seal, until, _ = self.ends[mid]
-        return End(mid=mid, complete=complete, seal=seal, until=max(0.0, until - self.now - self.state_s))
+        end = self.ends[mid]
+        waits = max(0.0, end.until - self.now - self.state_s)
+        return End(mid=mid, complete=end.complete, seal=end.seal, until=waits)
 
     def finish(
         self, mid: str, complete: bool, seal: str, *then: tuple[str, str, Any], waits: float = 0.0
@@ -409,7 +354,7 @@
         elif entry is not None:
             self.dead[mid] = entry.size  # its octets may still be asked for
         holders = entry.holders if entry is not None else ()
-        self.ends[mid] = complete, seal, until, holders
+        self.ends[mid] = KnownEnd(complete, seal, until, holders)
         self.unsynced.add(mid)
         heapq.heappush(self.expiry, (until, mid))
         self.figures["ended"] += 1
@@ -506,8 +451,8 @@
             entry = self.entries.get(mid)
             if entry is None:
                 if mid in self.ends:  # it has not heard that it ended
-                    complete, seal, *_ = self.ends[mid]
-                    self.sends.append(Send(node, "end", End(mid=mid, complete=complete, seal=seal)))
+                    end = self.ends[mid]
+                    self.send(node, "end", End(mid=mid, complete=end.complete, seal=end.seal))
             elif claim >= entry.taken and (entry.owner in ("", who) or not self.alive(entry.owner)):
                 if entry.owner not in ("", who):
                     self.tell_gone(entry.owner, mid)
@@ -570,8 +515,8 @@
 
     def state(self, mid: str) -> Told:
         if mid in self.ends and mid not in self.unsynced:
-            complete, seal, *_ = self.ends[mid]
-            return Told(state=COMPLETE if complete else DEAD, seal=seal)
+            end = self.ends[mid]
+            return Told(state=COMPLETE if end.complete else DEAD, seal=end.seal)
         if mid in self.entries or mid in self.unsynced:
             return Told(state=PENDING)
         return Told(state=UNKNOWN if self.settled else UNSURE)
@@ -757,7 +702,7 @@
         if (entry := self.entries.get(mid)) is not None:
             if entry.until <= self.now:
                 self.finish(mid, False, "")
-        elif (end := self.ends.get(mid)) is not None and end[2] <= self.now:
+        elif (end := self.ends.get(mid)) is not None and end.until <= self.now:
             del self.ends[mid]
             self.moving.ends_done.discard(mid)
             self.held -= self.dead.pop(mid, 0)
--- a/opalwick/post/depot/moving.py
+++ b/opalwick/post/depot/moving.py
@@ -10,13 +10,12 @@
 
 import zlib
 from collections import deque
-from typing import TYPE_CHECKING, Any
+from typing import Any, NamedTuple
 
+from opalwick.post.depot.messages import Messages
+from opalwick.post.depot.records import Entry
 from opalwick.post.wire_pb2 import Holders
 
-if TYPE_CHECKING:
-    from opalwick.post.depot.keeping import Entry, Keeping
-
 AT_ONCE = 64  # messages on the way at once: some hundred kilobytes, a tenth of a second of a disk
 AGAIN = 2.0  # s until a move that nobody answered is tried again, perhaps elsewhere
 REPAIR = 8.0  # s that a depot is away until what it keeps is copied anew: over twice its slowest restart
@@ -26,17 +25,23 @@
 LOOK = 0.5  # s between looks for what must move
 
 
+class Transfer(NamedTuple):
+    """A copy of a message that is on its way to another depot."""
+
+    target: str
+    since: float  # s, this depot's clock
+    holders: tuple[str, ...]  # who keeps the message once it is there
+
+
 class Moving:
-    def __init__(self, keeping: Keeping, copies: int, spread: bool) -> None:
+    def __init__(self, keeping: Messages, copies: int, spread: bool) -> None:
         self.k, self.copies, self.spread = keeping, copies, spread
         self.retiring = set[str]()  # depots that are to be taken away; may be this one
         self.zones: dict[str, str] = {}  # of depots
         self.away_since: dict[str, float] = {}  # depots that were here and are not
         self.came: dict[str, float] = {}  # depots that have come and never were here before
         self.disks: dict[str, str] = {}
-        self.on_way: dict[
-            str, tuple[str, float, tuple[str, ...]]
-        ] = {}  # to whom, since when, who keeps it then
+        self.on_way: dict[str, Transfer] = {}  # by message
         self.ends: dict[str, set[str]] = {}  # ends on their way: who has not said that it has them
         self.ends_since: dict[str, float] = {}
         self.ends_done = set[str]()
@@ -53,8 +58,8 @@
         self.away_since.pop(node, None)
         known, self.disks[node] = self.disks.get(node), disk
         if known is not None and known != disk:  # it lost its disk: it has no end any more
-            for mid, (*_, holders) in self.k.ends.items():
-                if node in holders:
+            for mid, end in self.k.ends.items():
+                if node in end.holders:
                     self.k.tell_end(mid, [node])
 
     def down(self, node: str) -> None:
@@ -91,7 +96,7 @@
         if not k.settled or k.now < self.look_at:
             return
         self.look_at = k.now + LOOK
-        for mid in [mid for mid, (_, at, _) in self.on_way.items() if k.now - at > AGAIN]:
+        for mid in [mid for mid, transfer in self.on_way.items() if k.now - transfer.since > AGAIN]:
             del self.on_way[mid]
         for mid in [mid for mid, at in self.ends_since.items() if k.now - at > AGAIN and mid in self.ends]:
             del self.ends[mid]  # tried again, perhaps elsewhere
@@ -130,21 +135,21 @@
             if holders == left:
                 self.settle(entry, holders)
                 return
-            self.on_way[entry.mid] = target[0], self.k.now, holders
+            self.on_way[entry.mid] = Transfer(target[0], self.k.now, holders)
             self.k.fetch(entry.mid, ("move", target[0], holders))
 
     def move_ends(self) -> None:
         """Of a depot that is to be taken away: enough others have each end, and a dead message's octets."""
-        for mid, (_, _, _, holders) in list(self.k.ends.items()):
+        for mid, end in list(self.k.ends.items()):
             if mid in self.ends_done or mid in self.ends or mid in self.k.unsynced:
                 continue
             if len(self.ends) >= 4 * AT_ONCE:
                 break
-            others = [node for node in holders if node != self.k.node and node in self.able()]
+            others = [node for node in end.holders if node != self.k.node and node in self.able()]
             # an end does not tell whose message it was: where all that had it are in one country it stays
-            countries = {self.at(node) for node in holders}
+            countries = {self.at(node) for node in end.holders}
             home = countries.pop() if len(countries) == 1 else ""
-            targets = others + self.choose(mid, holders, max(0, self.copies - len(others)), home)
+            targets = others + self.choose(mid, end.holders, max(0, self.copies - len(others)), home)
             if not targets:
                 continue
             self.ends[mid], self.ends_since[mid] = set(targets), self.k.now
@@ -160,15 +165,15 @@
 
     def kept(self, node: str, mid: str, refused: bool) -> None:
         """A depot has what was on its way to it."""
-        found = self.on_way.get(mid)
-        if found is None or found[0] != node:
+        transfer = self.on_way.get(mid)
+        if transfer is None or transfer.target != node:
             return
         del self.on_way[mid]
         if 2 * len(self.on_way) < AT_ONCE:
             self.look_at = self.k.now  # further ones need not wait for the next look
         entry = self.k.entries.get(mid)
         if entry is not None and not refused:
-            self.settle(entry, found[2])
+            self.settle(entry, transfer.holders)
         elif mid in self.k.ends and not refused:  # it has ended while its copy was on its way
             self.k.tell_end(mid, [node])
 
--- a/opalwick/post/depot/reconciliation.py
+++ b/opalwick/post/depot/reconciliation.py
@@ -9,13 +9,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
 
+from opalwick.post.depot.messages import Messages
+from opalwick.post.depot.records import Entry
 from opalwick.post.wire_pb2 import Have
 
-if TYPE_CHECKING:
-    from opalwick.post.depot.keeping import Entry, Keeping
-
 OVERDUE = 3.0  # s after a message was due until the other depots are asked whether it has ended
 SCAN = 1.0  # s between looks for such messages
 SCANNED = 200  # messages looked at each time: some microseconds each
@@ -23,7 +21,7 @@
 
 
 class Reconciliation:
-    def __init__(self, keeping: Keeping) -> None:
+    def __init__(self, keeping: Messages) -> None:
         self.keeping = keeping
         self.doubted: dict[str, None] = {}  # messages to be asked about at the next tick
         self.scan_at = keeping.now
--- a/opalwick/post/depot/role.py
+++ b/opalwick/post/depot/role.py
@@ -9,7 +9,8 @@
 import math
 from typing import Any
 
-from opalwick.post.depot.keeping import DEAD, PENDING, UNSURE, Fetch, Keeping, Write
+from opalwick.post.depot.keeping import DEAD, PENDING, UNSURE, Keeping
+from opalwick.post.depot.records import Fetch, Write
 from opalwick.post.files import ROTTEN
 from opalwick.post.home.guard import Guard
 from opalwick.post.settings import Settings
--- a/opalwick/post/depot/status.py
+++ b/opalwick/post/depot/status.py
@@ -9,7 +9,8 @@
 
 from opalwick.post.counter.routes import Routes
 from opalwick.post.depot.disk import Row
-from opalwick.post.depot.keeping import LAPSE, Entry
+from opalwick.post.depot.keeping import LAPSE
+from opalwick.post.depot.records import Entry
 from opalwick.post.depot.role import Depot
 from opalwick.post.home.audit import rows as rows_of
 from opalwick.post.home.audit import signed
@@ -37,7 +38,7 @@
         "unheard": sorted((k.expected or set()) - k.reported - set(k.peers)),
         "pending": len(k.entries),
         "ends": len(k.ends),
-        "dead": sum(not complete for complete, *_ in k.ends.values()),
+        "dead": sum(not end.complete for end in k.ends.values()),
         "octets": k.held,
         "room": int(k.room) if math.isfinite(k.room) else None,
         "disk_queue": len(role.queue),
@@ -111,12 +112,11 @@
 def message(role: Depot, name: str) -> dict[str, Any] | None:
     k, mid = role.keeping, split(name)[0]
     if (end := k.ends.get(mid)) is not None:
-        complete, seal, until, _ = end
         return {
             "id": mid,
-            "state": "complete" if complete else "dead",
-            "seal": seal,
-            "told_for": until - role.now,
+            "state": "complete" if end.complete else "dead",
+            "seal": end.seal,
+            "told_for": end.until - role.now,
             "why": "it has ended",
         }
     if (entry := k.entries.get(mid)) is None:
@@ -179,14 +179,14 @@
         "fails": row.fails,
         "lost": row.lost,
         "cause": cause(row, route),
-        "told_for": role.keeping.ends[row.mid][2] - role.now if row.mid in role.keeping.ends else 0.0,
+        "told_for": role.keeping.ends[row.mid].until - role.now if row.mid in role.keeping.ends else 0.0,
     }
 
 
 def dead(role: Depot, look: Any, route: str = "", after: str = "") -> dict[str, Any]:
     """Those of a route (of all, where none is named), by id, after that one. `more`: there may be further
     ones after `last`."""
-    names = sorted(mid for mid, end in role.keeping.ends.items() if not end[0] and mid > after)
+    names = sorted(mid for mid, end in role.keeping.ends.items() if not end.complete and mid > after)
     found: list[dict[str, Any]] = []
     last, read = after, 0
     while read < min(len(names), SCAN) and len(found) < PAGE:
@@ -206,7 +206,7 @@
 def dead_one(role: Depot, look: Any, name: str) -> dict[str, Any] | None:
     mid = split(name)[0]
     end = role.keeping.ends.get(mid)
-    if end is None or end[0] or not (found := look(lambda disk: rows(disk, [mid]))):
+    if end is None or end.complete or not (found := look(lambda disk: rows(disk, [mid]))):
         return None
     letter = Letter.FromString(found[0].letter)
     return summary(role, found[0]) | {
@@ -242,7 +242,7 @@
             "dead_messages",
             False,
             "Ended without a success, and still told.",
-            [({}, sum(not complete for complete, *_ in k.ends.values()))],
+            [({}, sum(not end.complete for end in k.ends.values()))],
         ),
         ("kept_octets", False, "Of messages on the disk.", [({}, k.held)]),
         (
--- a/opalwick/post/office/window.py
+++ b/opalwick/post/office/window.py
@@ -11,20 +11,21 @@
 import json
 from collections.abc import Callable
 from dataclasses import asdict
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from returns.result import Success
 
+from opalwick.post.directory import Directory
 from opalwick.post.maintenance import shares
 from opalwick.post.maintenance.conductor import Conductor, Refused
 from opalwick.post.maintenance.fleet import Fleet, Machine, Unit, contents
 from opalwick.post.maintenance.needs import hurt
 from opalwick.post.maintenance.racks import check
 from opalwick.post.maintenance.state import RESTING, State, read
-from opalwick.post.wire_pb2 import Conf, Pulse
-
-if TYPE_CHECKING:
-    from opalwick.post.office.role import Office
+from opalwick.post.office.registry import Registry
+from opalwick.post.office.views import Views
+from opalwick.post.station import Link
+from opalwick.post.wire_pb2 import Conf, Node, Pulse
 
 LOOK = 0.25  # s between looks: as often as pulses come
 HEARD = 1.0  # s without a word after which a machine is not there: four pulses
@@ -45,8 +46,31 @@
         self.due = {svc: int(count) for svc, count in word.due.items()}
 
 
+class Host(Protocol):
+    """What the conductor's host knows; the office's role is the one implementation."""
+
+    node: str
+    zone: str
+    life: int
+    now: float  # s, this process's clock
+    views: Views
+    registry: Registry
+    directory: Directory
+    empty: dict[str, bool]  # depots that say that nothing is left there
+
+    def link(self, node: str) -> Link | None: ...
+
+    def nodes(self, role: str) -> list[Node]: ...
+
+    def wait(self, answer: Answer) -> int:
+        """A number under which `answer` is called once a change is in force."""
+        ...
+
+    def window_moved(self, serial: int, phase: str, what: str, at: float) -> None: ...
+
+
 class Window:
-    def __init__(self, office: Office) -> None:
+    def __init__(self, office: Host) -> None:
         self.o, self.conductor = office, Conductor()
         self.counters: dict[str, Told] = {}
         self.settled: dict[str, bool] = {}  # depots
--- a/tests/post_cluster.py
+++ b/tests/post_cluster.py
@@ -10,8 +10,8 @@
 from types import SimpleNamespace
 from typing import Any
 
+from opalwick.post.counter.item import Start
 from opalwick.post.counter.role import Counter
-from opalwick.post.counter.rounds import Start
 from opalwick.post.depot.role import Depot
 from opalwick.post.settings import Settings, parse
 from opalwick.post.verdict import Verdict
--- a/tests/test_lab_post_mutants.py
+++ b/tests/test_lab_post_mutants.py
@@ -14,8 +14,9 @@
 from opalwick.post.counter.role import Counter
 from opalwick.post.counter.rounds import Rounds
 from opalwick.post.depot import keeping
-from opalwick.post.depot.keeping import Keeping, Send, Write
+from opalwick.post.depot.keeping import Keeping
 from opalwick.post.depot.moving import Moving
+from opalwick.post.depot.records import Send, Write
 from opalwick.post.depot.role import Depot
 from opalwick.post.directory import Directory
 from opalwick.post.office import numbers
--- a/tests/test_post_disk.py
+++ b/tests/test_post_disk.py
@@ -13,7 +13,7 @@
 
 from opalwick.post.depot.agent import opened
 from opalwick.post.depot.disk import Disk
-from opalwick.post.depot.keeping import Fetch
+from opalwick.post.depot.records import Fetch
 from opalwick.post.depot.role import Depot
 from opalwick.post.files import ROTTEN
 from opalwick.post.office.disk import Disk as OfficeDisk
--- a/tests/test_post_home.py
+++ b/tests/test_post_home.py
@@ -16,8 +16,8 @@
 from test_post_events import SETTINGS
 
 from opalwick.post.counter.delivery import Delivery, Meeting
+from opalwick.post.counter.item import Item, Start
 from opalwick.post.counter.role import Counter
-from opalwick.post.counter.rounds import Item, Start
 from opalwick.post.depot.disk import Disk
 from opalwick.post.depot.role import Depot
 from opalwick.post.directory import Directory
--- a/tests/test_post_keeping.py
+++ b/tests/test_post_keeping.py
@@ -5,7 +5,8 @@
 import pytest
 from post_helper import Player, letter, word
 
-from opalwick.post.depot.keeping import LAPSE, STILL, Fetch, Keeping, Write
+from opalwick.post.depot.keeping import LAPSE, STILL, Keeping
+from opalwick.post.depot.records import Fetch, Write
 from opalwick.post.wire_pb2 import Hand, Keep, Letter, Pulse
 
 STATES = ["unknown", "pending", "complete", "dead", "unsure"]
--- a/tests/test_post_moving.py
+++ b/tests/test_post_moving.py
@@ -5,7 +5,8 @@
 import pytest
 from post_helper import Net
 
-from opalwick.post.depot.keeping import Keeping, Write
+from opalwick.post.depot.keeping import Keeping
+from opalwick.post.depot.records import Write
 from opalwick.post.wire_pb2 import End, Keep, Letter, Pulse
 
 ZONES = {"d1": "a", "d2": "b", "d3": "c", "d4": "a"}
--- a/tests/test_post_rounds.py
+++ b/tests/test_post_rounds.py
@@ -7,8 +7,9 @@
 import pytest
 from post_helper import Player, letter
 
+from opalwick.post.counter.item import Item, Start, Stop
 from opalwick.post.counter.role import Counter
-from opalwick.post.counter.rounds import Item, Rounds, Start, Stop
+from opalwick.post.counter.rounds import Rounds
 from opalwick.post.settings import parse
 from opalwick.post.verdict import Verdict
 from opalwick.post.wire_pb2 import Conf, End, Letter, Route, Service, Worker
--- a/tests/test_post_twice.py
+++ b/tests/test_post_twice.py
@@ -11,6 +11,7 @@
 from post_cluster import Cluster
 
 from opalwick.post.counter.agreement import Agreement
+from opalwick.post.depot.moving import Transfer
 from opalwick.post.wire_pb2 import Hello, Keep, Letter, Mine
 
 
@@ -125,7 +126,7 @@
     first, _ = cluster.holders(mid)
     keeping = cluster.roles[first].keeping
     target = next(node for node in ("d1", "d2", "d3") if node not in cluster.holders(mid))
-    keeping.moving.on_way[mid] = target, cluster.now, (first, target)
+    keeping.moving.on_way[mid] = Transfer(target, cluster.now, (first, target))
     keeping.fetch(mid, ("move", target, (first, target)))
     cluster.settle(first)
     cluster.answer(mid)
