--- a/opalwick/__main__.py
+++ b/opalwick/__main__.py
@@ -8,6 +8,6 @@
 
     sys.exit(serve())
 
-from opalwick.commands import app
+from opalwick.commands import app  # noqa: E402
 
 app()
--- a/opalwick/commands.py
+++ b/opalwick/commands.py
@@ -5,7 +5,7 @@
 
 import os
 from importlib import import_module
-from typing import Annotated, Any
+from typing import Annotated, Any, Optional
 
 import typer
 from typer.core import TyperGroup
@@ -40,7 +40,7 @@
     pretty_exceptions_enable=False,
     help="A scheduler beside each submitter that pushes work items to workers.",
 )
-File = Annotated[str | None, typer.Argument(help="The configuration; else BALANCER_CONFIG names it.")]
+File = Annotated[Optional[str], typer.Argument(help="The configuration; else BALANCER_CONFIG names it.")]
 
 
 @app.command()
--- a/opalwick/fleet/members.py
+++ b/opalwick/fleet/members.py
@@ -242,7 +242,7 @@
         least = self.now - 10.0 * self.terms.every * max(1.0, self.count / 40.0)
         if max(peer.reached_at, peer.heard_at) >= least and not peer.round_about:
             return "reached"
-        if max(peer.others_at, peer.heard_at) >= least or (peer.there and peer.suspicion is None):
+        if max(peer.others_at, peer.heard_at) >= least or peer.there and peer.suspicion is None:
             return "by others"
         return "not reached"
 
@@ -296,8 +296,7 @@
                 self._apart(item.about, item.life, self.now - item.age)
             return
         if item.about == self.me:
-            self._of_me(item)
-            return
+            return self._of_me(item)
         peer = self.peers.get(item.about)
         if peer is None or item.state is State.UNKNOWN:
             return
@@ -345,15 +344,12 @@
                 self.probes.clear()
                 why = "another has started under this name"
                 self.events.append(Event("displaced", self.me, item.life, why))
-        elif (
-            item.life == self.life
-            and item.state in (State.SUSPECT, State.GONE, State.LEFT)
-            and not later(self.incarnation, item.incarnation)
-        ):
-            self.incarnation = (item.incarnation + 1) & 0xFFFF
-            self.counts["refutations"] += 1
-            self.health = min(self.HEALTH, self.health + 1)
-            self._tell(self.me, push=True)
+        elif item.life == self.life and item.state in (State.SUSPECT, State.GONE, State.LEFT):
+            if not later(self.incarnation, item.incarnation):
+                self.incarnation = (item.incarnation + 1) & 0xFFFF
+                self.counts["refutations"] += 1
+                self.health = min(self.HEALTH, self.health + 1)
+                self._tell(self.me, push=True)
 
     def _back(self, item: News) -> None:
         """Displaced: it is back, as somebody new, once the one that took its name is gone."""
@@ -467,8 +463,7 @@
         if probe.relay is not None:  # the one that asked hears that it does not answer here either
             # it spoke since the other's probe began, and may be deaf: it is there
             if probe.peer.heard_at > probe.began - 0.8 * self.terms.answer:
-                self._answered(probe, straight=False)
-                return
+                return self._answered(probe, straight=False)
             del self.probes[probe.number]
             self._owe(probe.relay[0], What.SILENT, number=probe.relay[1], about=probe.peer.number)
             return
@@ -732,7 +727,7 @@
         sums = [0] * BUCKETS
         for about in range(self.count):
             held = self._held(about)
-            if held.state is State.UNKNOWN or (about != self.me and self.peers[about].own):
+            if held.state is State.UNKNOWN or about != self.me and self.peers[about].own:
                 continue
             state = State.ALIVE if held.state is State.SUSPECT else held.state
             told = b"%d/%d/%d/%d" % (about, state, held.life, held.incarnation)
@@ -746,8 +741,7 @@
             for about in range(self.count)
             if about % BUCKETS in buckets
             and (
-                about == self.me
-                or (self.peers[about].state is not State.UNKNOWN and not self.peers[about].own)
+                about == self.me or self.peers[about].state is not State.UNKNOWN and not self.peers[about].own
             )
         ]
         for at in range(0, len(items), MOST):
--- a/opalwick/interface.py
+++ b/opalwick/interface.py
@@ -10,7 +10,7 @@
 from collections.abc import Hashable
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
-from typing import NamedTuple
+from typing import NamedTuple, Union
 
 
 class Effect(Enum):
@@ -337,4 +337,4 @@
     at: float
 
 
-Decision = Send | Cancel | Probe | Defer | WriteOff | Subscribe | Tell | Sum | Wake
+Decision = Union[Send, Cancel, Probe, Defer, WriteOff, Subscribe, Tell, Sum, Wake]
--- a/opalwick/processor/exchange.py
+++ b/opalwick/processor/exchange.py
@@ -69,7 +69,7 @@
 class Call:
     """`reply` is called when there is something to tell; it must not call back."""
 
-    __slots__ = ("figures", "item", "number", "reply", "state", "told")
+    __slots__ = ("reply", "item", "number", "state", "told", "figures")
 
     def __init__(self, reply: Callable[[Any], None]) -> None:
         self.reply = reply
@@ -81,7 +81,7 @@
 
 
 class Item:
-    __slots__ = ("category", "come_back_in", "expiry_at", "final", "held", "id", "kept", "out")
+    __slots__ = ("id", "category", "expiry_at", "held", "out", "kept", "final", "come_back_in")
 
     def __init__(self, id: str, category: Category, expiry_at: float) -> None:
         self.id, self.category, self.expiry_at = id, category, expiry_at
@@ -156,12 +156,10 @@
         if item is None:
             if asked.expiry_at <= now:
                 self.final(asked.category, 504)
-                self._tell(call, Immediate(504, 0.0, "no time left"))
-                return
+                return self._tell(call, Immediate(504, 0.0, "no time left"))
             if len(self.items) >= self.most:
                 self.final(asked.category, 503)
-                self._tell(call, Immediate(503, 1.0, "full"))
-                return
+                return self._tell(call, Immediate(503, 1.0, "full"))
             item = call.item = self.items[asked.id] = Item(asked.id, asked.category, asked.expiry_at)
             item.held = call
             self.at(asked.expiry_at + 0.05, self._expired, item)
@@ -180,20 +178,16 @@
             )
             return
         if asked.category is not item.category:
-            self._tell(call, Immediate(409, 0.0, "this id is another request's"))
-            return
+            return self._tell(call, Immediate(409, 0.0, "this id is another request's"))
         if item.final is not None:
-            self._tell(call, self._immediate(item))
-            return
+            return self._tell(call, self._immediate(item))
         if item.held is not None:
             # the first is still undecided: a second decision would be one more hand-off for nothing
-            self._refuse(call)
-            return
+            return self._refuse(call)
         if item.kept is not None:
             number, worker, place, until = item.kept
             item.kept = None
-            self._route(call, number, worker, place, until - now)
-            return
+            return self._route(call, number, worker, place, until - now)
         item.held = call
         self.core.put("asked", item.id)
         if item.held is call and (item.out or item.final is not None):
--- a/opalwick/processor/grpc.py
+++ b/opalwick/processor/grpc.py
@@ -71,7 +71,7 @@
 
 
 class Stream:
-    __slots__ = ("buffer", "ended", "finished", "headed", "out", "queued")
+    __slots__ = ("buffer", "out", "queued", "headed", "finished", "ended")
 
     def __init__(self) -> None:
         self.buffer = bytearray()  # of a message that is not whole
@@ -161,16 +161,13 @@
             self.h2.send_headers(id, [(":status", "415")], end_stream=True)
             return
         if self.leaving:
-            self._refuse(id, UNAVAILABLE, "leaving", found, told=False)
-            return
+            return self._refuse(id, UNAVAILABLE, "leaving", found, told=False)
         if given.get("grpc-encoding", "identity") != "identity":
-            self._refuse(id, UNIMPLEMENTED, "no compression is spoken here", found, told=False)
-            return
+            return self._refuse(id, UNIMPLEMENTED, "no compression is spoken here", found, told=False)
         timeout = None
         if (text := given.get("grpc-timeout")) is not None:
             if (read := _TIMEOUT.fullmatch(text)) is None:
-                self._refuse(id, INVALID_ARGUMENT, "grpc-timeout is malformed", found, told=False)
-                return
+                return self._refuse(id, INVALID_ARGUMENT, "grpc-timeout is malformed", found, told=False)
             timeout = int(read[1]) * _UNITS[read[2]]
         stream.headed = False
         found.append(Opened(id, given.get(":path", ""), timeout))
@@ -186,11 +183,9 @@
         while len(stream.buffer) >= 5:
             size = int.from_bytes(stream.buffer[1:5], "big")
             if stream.buffer[0]:
-                self._refuse(event.stream_id, UNIMPLEMENTED, "no compression is spoken here", found)
-                return
+                return self._refuse(event.stream_id, UNIMPLEMENTED, "no compression is spoken here", found)
             if size > self.bounds.message:
-                self._refuse(event.stream_id, RESOURCE_EXHAUSTED, "a message too large", found)
-                return
+                return self._refuse(event.stream_id, RESOURCE_EXHAUSTED, "a message too large", found)
             if len(stream.buffer) < 5 + size:
                 return
             octets = bytes(stream.buffer[5 : 5 + size])
--- a/opalwick/processor/messages.py
+++ b/opalwick/processor/messages.py
@@ -90,7 +90,7 @@
 class Conversation:
     """One stream. `say(octets, token)` sends a message, `done(status, text)` ends the stream from here."""
 
-    __slots__ = ("call", "exchange", "now", "over", "owed", "phase", "say", "settings", "watched")
+    __slots__ = ("exchange", "settings", "now", "say", "call", "owed", "phase", "watched", "over")
 
     def __init__(
         self,
@@ -146,8 +146,7 @@
             found = asked(fields_of(headers.headers), self.settings, now)
         except Refused as problem:
             self.call.state = "over"
-            self.reply(Immediate(problem.status, 0.0, str(problem)))
-            return
+            return self.reply(Immediate(problem.status, 0.0, str(problem)))
         self.exchange.begins(self.call, found)
 
     def response(self, headers: Any) -> None:
--- a/opalwick/program/core.py
+++ b/opalwick/program/core.py
@@ -15,8 +15,7 @@
 
 from opalwick.interface import ListForm
 from opalwick.program.configuration import BadConfiguration, Configuration
-from opalwick.program.handover import Handover
-from opalwick.program.handover import place as meeting
+from opalwick.program.handover import Handover, place as meeting
 from opalwick.program.operators import Operators
 from opalwick.protocol import figures
 from opalwick.protocol.discovery import Discovery, listing, rows
@@ -28,6 +27,7 @@
 from opalwick.transport.pool import Pool
 from opalwick.transport.pulse import Pulse
 
+
 AGENT = b"\2"  # how words of the fleet's parts begin (`fleet/words.py`), which is not imported while off
 
 
@@ -223,7 +223,7 @@
         now = time.monotonic()
         if self.pulse.late(now):
             self.stood(now)
-        if self.relieved or (self.waking and self.gap > self.pulse.LONG):
+        if self.relieved or self.waking and self.gap > self.pulse.LONG:
             return  # it may have lain there for as long
         if (peer := self.peers.get(sender)) is None:
             return
--- a/opalwick/program/handover.py
+++ b/opalwick/program/handover.py
@@ -61,8 +61,7 @@
     def say(self, kind: str, **fields: Any) -> None:
         """Waits for nobody."""
         if len(self.unsaid) >= UNSAID:
-            self.close()
-            return
+            return self.close()
         self.unsaid.append(packed(kind, **fields))
         self.some.set()
 
@@ -212,8 +211,7 @@
             logger.info("a process that follows was told what this one knows")
         except (OSError, Odd) as problem:
             logger.warning("a process that follows is not spoken with: {}", problem or type(problem).__name__)
-            self.drop(link)
-            return
+            return self.drop(link)
         self.follow(link)
 
     # ---- both
--- a/opalwick/protocol/clients.py
+++ b/opalwick/protocol/clients.py
@@ -16,6 +16,7 @@
 from opalwick.transport.connection import Connection
 from opalwick.transport.limits import Limits
 
+
 _NUMBER = re.compile(rb"[0-9]{1,12}([.][0-9]{1,12})?")  # a million seconds in microseconds
 _MARK = re.compile(rb"[!-~]{0,128}")  # far longer than any id; odd letters would be closed on
 
@@ -23,7 +24,7 @@
 class Call(conversation.Call):
     """One that may be a work item."""
 
-    __slots__ = ("again", "category", "taken")
+    __slots__ = ("taken", "again", "category")
 
     def __init__(self, message: Message, close: bool, changed: Event) -> None:
         super().__init__(message, close, changed)
@@ -139,16 +140,14 @@
     def whole(self, message: Message, now: float) -> None:
         if message.target.split(b"?", 1)[0] == b"/-/ready":
             # which makes no usual client of those that ask so and stay
-            self.asks(message, False).answer(200 if self.scheduler.lets_in() else 503)
-            return
+            return self.asks(message, False).answer(200 if self.scheduler.lets_in() else 503)
         fields = decode(message, self.names, now)
         if self.scheduler.holds(message.headers[b"x-correlation-id"]):
             raise Malformed(409, "a work item with this id is open")
         call = self.asks(message)
         call.category = fields[0]
         if self.full or not self.scheduler.room_for(len(message.body)):
-            call.answer(503, b"", *self.scheduler.advice)
-            return
+            return call.answer(503, b"", *self.scheduler.advice)
         call.taken = True
         self.scheduler.take(call, *fields)
 
--- a/opalwick/protocol/conversation.py
+++ b/opalwick/protocol/conversation.py
@@ -22,7 +22,7 @@
 class Call:
     """One request and the answer that is owed for it."""
 
-    __slots__ = ("changed", "close", "message", "reply")
+    __slots__ = ("message", "reply", "close", "changed")
 
     def __init__(self, message: Message, close: bool, changed: Event) -> None:
         self.message, self.close, self.changed = message, close, changed
@@ -141,15 +141,14 @@
                 self.written.clear()
                 self.written.wait()
             if self.last:
-                self.drop()
-                return
+                return self.drop()
             owed = self.owed and not self.parser.begun
             try:
                 data = self.connection.read(
                     self.limits.idle_client if owed else self.due_at() - time.monotonic()
                 )
             except TimeoutError:
-                if (self.owed and not self.parser.begun) or time.monotonic() < self.due_at():
+                if self.owed and not self.parser.begun or time.monotonic() < self.due_at():
                     continue  # it was answered meanwhile, or still waits for that
                 if not self.parser.begun:
                     return
--- a/opalwick/protocol/errand.py
+++ b/opalwick/protocol/errand.py
@@ -29,7 +29,7 @@
 class Errand:
     """What it ends with is a subclass's: that listens, and tells it. Here an outcome is an end."""
 
-    __slots__ = ("address", "answer", "connection", "data", "given_up", "limits", "pool", "until", "wanted")
+    __slots__ = ("address", "data", "until", "wanted", "pool", "limits", "connection", "answer", "given_up")
 
     def __init__(
         self,
@@ -83,13 +83,11 @@
 
     def run(self) -> None:
         if self.over():
-            self.told(self.bare(Outcome.NOT_SENT), False)
-            return
+            return self.told(self.bare(Outcome.NOT_SENT), False)
         try:
             connection = self.connection = self.pool.take(self.address)
         except NoRoom:
-            self.told(self.bare(Outcome.NOT_SENT), False)
-            return
+            return self.told(self.bare(Outcome.NOT_SENT), False)
         end = self.bare(Outcome.BROKEN)
         try:
             unsent = self.send(connection)
--- a/opalwick/protocol/http.py
+++ b/opalwick/protocol/http.py
@@ -21,7 +21,7 @@
 
 
 class Message:
-    __slots__ = ("body", "first_at", "headers", "keep_alive", "method", "status", "target")
+    __slots__ = ("method", "target", "headers", "body", "status", "keep_alive", "first_at")
 
     def __init__(self, first_at: float) -> None:
         self.method = self.target = self.body = b""
--- a/opalwick/protocol/workers.py
+++ b/opalwick/protocol/workers.py
@@ -80,7 +80,7 @@
 class HandingOff(errand.Errand):
     """One hand-off on its way; `tell` gets the reducer's inputs of it."""
 
-    __slots__ = ("counts", "fault", "id", "names", "tell")
+    __slots__ = ("id", "names", "counts", "tell", "fault")
     answer: Answer
 
     def __init__(
--- a/opalwick/transport/connection.py
+++ b/opalwick/transport/connection.py
@@ -29,20 +29,20 @@
 
 class Connection:
     __slots__ = (
-        "address",
-        "closed",
-        "empty_at",
-        "idle_since",
+        "sock",
         "inward",
-        "known",
-        "lain_since",
-        "opened_at",
         "outward",
-        "overtime",
+        "closed",
+        "opened_at",
+        "idle_since",
         "rested",
-        "sock",
         "used",
+        "empty_at",
+        "lain_since",
         "waited",
+        "overtime",
+        "address",
+        "known",
     )
 
     def __init__(self, sock: Any, room: int, empty_at: float = 0.0) -> None:
@@ -158,8 +158,7 @@
     until = time.monotonic() + 5.0  # far longer than a killed process takes to go
     while True:
         try:
-            sock.bind(place)
-            return
+            return sock.bind(place)
         except OSError as problem:
             if problem.errno != errno.EADDRINUSE or time.monotonic() > until:
                 raise
--- a/opalwick/transport/pool.py
+++ b/opalwick/transport/pool.py
@@ -51,8 +51,7 @@
 
     def give(self, address: Address, connection: Connection) -> None:
         if connection.closed:
-            self.close(connection)
-            return
+            return self.close(connection)
         connection.idle_since = time.monotonic()
         self.kept.setdefault(address, []).append(connection)
 
--- a/opalwick/transport/pulse.py
+++ b/opalwick/transport/pulse.py
@@ -55,8 +55,11 @@
 
     def stood(self, since: float, now: float) -> bool:
         """Whether it stood still for long between those moments."""
-        return (self.still_to > since and self.still_to - self.still_from > self.LONG) or (
-            now - self.beat_at > self.LONG and self.beat_at + self.LONG > since
+        return (
+            self.still_to > since
+            and self.still_to - self.still_from > self.LONG
+            or now - self.beat_at > self.LONG
+            and self.beat_at + self.LONG > since
         )
 
     def at_worst(self, since: float, now: float) -> float:
--- a/opalwick/transport/ring.py
+++ b/opalwick/transport/ring.py
@@ -4,7 +4,7 @@
 
 
 class Ring:
-    __slots__ = ("size", "start", "view")
+    __slots__ = ("view", "start", "size")
 
     def __init__(self, room: int) -> None:
         self.view, self.start, self.size = memoryview(bytearray(room)), 0, 0
