Ports' tests draw beyond the range that other runs claim

Cause: the test's three blocks lay in the shared range, and a run beside it had claimed one (failed once in 49 tests, six at once). Change: blocks beyond the range's end, below the kernel's own ports; no assertion changed.

--- a/tests/test_lab_ports.py
+++ b/tests/test_lab_ports.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from opalwick.lab.sockets.ports import BLOCK_SIZE, HOST, PortBlocks
+from opalwick.lab.sockets.ports import BLOCK_SIZE, HOST, LAST, PortBlocks
 
 DRAWS = """
 import random, sys
@@ -35,7 +35,7 @@
 
 @pytest.fixture
 def blocks():
-    base = 31_000  # three blocks, where nothing else of these tests begins to draw
+    base = LAST  # three blocks beyond the range that free_port claims: other runs have none of these ports
     made = PortBlocks(base, base + 3 * BLOCK_SIZE)
     yield made
     made.close()
