Sight: each question for a message is traced and its answers are counted

Change: trace event 159 (name, host, status, answer) and the counts asked_found, asked_unknown, asked_unsure. What is answered is as before, but that the 503 for too many questions has a body now.

--- a/opalwick/post/counter/role.py
+++ b/opalwick/post/counter/role.py
@@ -13,7 +13,7 @@
 
 from opalwick.post.counter.ceilings import Ceilings
 from opalwick.post.counter.desks import Load, rows
-from opalwick.post.counter.front import LATER, fault
+from opalwick.post.counter.front import LATER, fault, field
 from opalwick.post.counter.holding import Holding
 from opalwick.post.counter.intake import Intake
 from opalwick.post.counter.item import Item, Start, Stop
@@ -50,12 +50,14 @@
 class AskBack:
     """A client asks for a message's state or octets: its depots in turn, then the others."""
 
-    __slots__ = ("body", "call", "left", "mid", "pending", "sure", "tags", "until")
+    __slots__ = ("body", "call", "left", "mid", "name", "pending", "sure", "tags", "until")
 
     def __init__(
-        self, call: Call, mid: str, tags: list[str], body: bool, left: list[str], sure: bool
+        self, call: Call, name: str, mid: str, tags: list[str], body: bool, left: list[str], sure: bool
     ) -> None:
-        self.call, self.mid, self.tags, self.body, self.left, self.sure = call, mid, tags, body, left, sure
+        """`name`: as the client wrote it."""
+        self.call, self.name = call, name
+        self.mid, self.tags, self.body, self.left, self.sure = mid, tags, body, left, sure
         self.pending: Told | None = None
         self.until = 0.0
 
@@ -91,7 +93,10 @@
         self.parked_at = math.inf  # when it gave back first what it held
         self.sweep_at = now
         self.prefix = f"{tag(self.node)}.{short(life)}."
-        self.counts = {"asked_back": 0, "no_route": 0, "away": 0, "away_octets": 0}
+        self.counts = dict.fromkeys(
+            ("asked_back", "asked_found", "asked_unknown", "asked_unsure", "no_route", "away", "away_octets"),
+            0,
+        )
 
     def clock(self, now: float) -> None:
         self.now = now
@@ -386,10 +391,10 @@
         return self.guard.met(order.item.letter, order.place, name)
 
     def asked_back(self, call: Call, name: str, body: bool) -> None:
+        self.counts["asked_back"] += 1
         if len(self.asks) >= ASKS:
-            call.answer(503, b"", LATER)
+            self.not_shown(call, name, body, 503, "too many questions under way")
             return
-        self.counts["asked_back"] += 1
         mid, tags = split(name)
         depots = self.nodes("depot")
         sure = bool(depots) and all(any(tag(depot.node) == t for depot in depots) for t in tags)
@@ -402,7 +407,7 @@
                 depot.node,
             )
         )
-        self.ask_next(AskBack(call, mid, tags, body, [depot.node for depot in depots], sure))
+        self.ask_next(AskBack(call, name, mid, tags, body, [depot.node for depot in depots], sure))
 
     def ask_next(self, ask: AskBack) -> None:
         if ask.left:
@@ -412,11 +417,11 @@
             self.asks[self.serial] = ask
             self.call_on(node, "ask", Ask(call=self.serial, mid=ask.mid, body=ask.body))
         elif ask.pending is not None:
-            self.tell_back(ask.call, ask.pending, ask.body)
+            self.tell_back(ask, ask.pending)
         elif ask.sure:
-            fault(ask.call, 404, "no such message")
+            self.not_shown(ask.call, ask.name, ask.body, 404, "no such message")
         else:
-            fault(ask.call, 503, "the depots that may have it do not answer", LATER)
+            self.not_shown(ask.call, ask.name, ask.body, 503, "the depots that may have it do not answer")
 
     def told_back(self, word: Told) -> None:
         ask = self.asks.pop(word.call, None)
@@ -427,24 +432,41 @@
         elif word.state == 1 and ask.pending is None and len(ask.tags) > 1 and not ask.body:
             ask.pending = word  # the other may know that it has ended
         else:
-            self.tell_back(ask.call, word, ask.body)
+            self.tell_back(ask, word)
             return
         self.ask_next(ask)
 
-    def tell_back(self, call: Call, told: Told, body: bool) -> None:
-        if body:
+    def tell_back(self, ask: AskBack, told: Told) -> None:
+        if ask.body:
             if told.abroad or (told.home and not self.guard.tells(told.home, self.guard.here)):
-                fault(call, 421, "its bytes are shown at its home alone", LATER)
+                fault(ask.call, 421, "its bytes are shown at its home alone", LATER)
                 return
             if told.state == 2:
-                fault(call, 404, "it is complete: its bytes are not kept")
+                self.not_shown(ask.call, ask.name, True, 404, "it is complete: its bytes are not kept")
                 return
-            call.answer(200, told.body, "Content-Type: application/octet-stream")
+            self.shown(ask, "bytes")
+            ask.call.answer(200, told.body, "Content-Type: application/octet-stream")
             return
         said = {"state": {1: "pending", 2: "complete", 3: "dlq"}[told.state]}
         if told.state == 2:
             said["seal"] = told.seal
-        call.answer(200, json.dumps(said).encode(), "Content-Type: application/json")
+        self.shown(ask, said["state"])
+        ask.call.answer(200, json.dumps(said).encode(), "Content-Type: application/json")
+
+    def shown(self, ask: AskBack, what: str) -> None:
+        """A question is answered with 200."""
+        self.counts["asked_found"] += 1
+        self.trace_question(ask.call, ask.name, ask.body, 200, what)
+
+    def not_shown(self, call: Call, name: str, body: bool, status: int, why: str) -> None:
+        """404: there is no such message, for sure. 503: that is not known here."""
+        self.counts["asked_unknown" if status == 404 else "asked_unsure"] += 1
+        self.trace_question(call, name, body, status, why)
+        fault(call, status, why, *([LATER] if status == 503 else []))
+
+    def trace_question(self, call: Call, name: str, body: bool, status: int, answer: str) -> None:
+        host = field(call.message, b"host").decode("latin-1")
+        self.trace(159, name=name, host=host, body=body, status=status, answer=answer)
 
     # ---- effects
 
--- a/tests/test_post_known.py
+++ b/tests/test_post_known.py
@@ -9,6 +9,7 @@
 from opalwick.post.names import shown
 from opalwick.post.settings import parse
 from opalwick.post.wire_pb2 import Assign, Conf, Hello, Letter, News, Node, Pulse, Route, Service, Told
+from opalwick.protocol.http import Message
 
 ZONES = "abcd"
 SETTINGS = """node=c1
@@ -47,6 +48,7 @@
 
 class Asked:
     def __init__(self) -> None:
+        self.message = Message(0.0)
         self.answers: list[tuple[int, bytes]] = []
 
     def answer(self, status: int, body: bytes = b"", *fields: str) -> None:
