--- a/tests/post_cluster.py
+++ b/tests/post_cluster.py
@@ -15,7 +15,7 @@
 from opalwick.post.depot.role import Depot
 from opalwick.post.settings import Settings, parse
 from opalwick.post.verdict import Verdict
-from opalwick.post.wire_pb2 import Conf, Envelope, Letter, News, Route, Service, Worker
+from opalwick.post.wire_pb2 import Conf, Envelope, Letter, News, Node, Route, Service, Worker
 from opalwick.protocol.http import Message
 
 STEP = 0.05  # s: a process looks at the time so often
@@ -37,14 +37,17 @@
 
 
 class Call:
-    """A client's request, and the status that it was answered with."""
+    """A client's request, and what it was answered with."""
 
-    def __init__(self, now: float) -> None:
-        self.message, self.status = Message(now), 0
+    def __init__(self, now: float, host: bytes = b"h") -> None:
+        self.message, self.status, self.body = Message(now), 0, b""
+        self.message.headers = {b"host": host}
+        self.name = ""  # of the message that was accepted
 
     def answer(self, status: int, body: bytes = b"", *fields: str) -> None:
         assert self.status == 0, "answered twice"
-        self.status = status
+        self.status, self.body = status, body
+        self.name = next((f.partition(": ")[2] for f in fields if f.startswith("X-Msg-Id")), "")
 
 
 class End:
@@ -88,6 +91,17 @@
         counter.confirmed = True
         self.join(node, counter)
 
+    def introduce(self) -> None:
+        """The counters are told which depots there are, as offices do."""
+        depots = [role for role in self.roles.values() if role.role == "depot"]
+        news = News(
+            nodes=[Node(node=d.node, role="depot", zone=d.zone, ip=d.ip, life=d.life) for d in depots]
+        )
+        office = SimpleNamespace(peer=SimpleNamespace(role="office", node="o1"), say=lambda kind, word: None)
+        for role in self.roles.values():
+            if role.role == "counter":
+                role.heard(office, "news", news)
+
     def join(self, node: str, role: Any) -> None:
         role.clock(self.now)
         self.roles[node] = role
@@ -224,9 +238,23 @@
 
     def accepted(self, node: str, delay: float = 0.0) -> str:
         """A message that was answered 202; its name inside."""
-        counter = self.roles[node]
+        return self.named(node, delay).partition("-")[0]
+
+    def named(self, node: str, delay: float = 0.0) -> str:
+        """A message that was answered 202; the name that its client was given."""
         call = self.offer(node, delay)
-        mid = f"{counter.prefix}{counter.serial:x}"
         self.read()
         assert call.status == 202
-        return mid
+        return call.name
+
+    def ask(self, node: str, name: str, host: bytes = b"h", body: bool = False) -> Call:
+        """A client asks for a message's state or bytes, and has its answer."""
+        call, counter = Call(self.now, host), self.roles[node]
+        counter.clock(self.now)
+        counter.asked_back(call, name, body)
+        self.settle(node)
+        self.read()
+        if not call.status:
+            self.run(2.0)
+        assert call.status, f"no answer within two seconds for {name!r}"
+        return call
--- /dev/null
+++ b/tests/test_post_names.py
@@ -0,0 +1,117 @@
+"""A state is shown for a name that was given out, spelled as it was given, under the message's own host.
+
+Found by `docs/incidents/mixed-state-for-a-name-never-given.md`.
+"""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from post_cluster import Cluster
+
+LETTERS = "0123456789abcdefghijklmnopqrstuvwxyz"
+NOT_SHOWN = (404, 503)
+
+
+@pytest.fixture(scope="module")
+def cluster() -> Cluster:
+    found = Cluster(counters=3, depots=3)
+    found.introduce()
+    return found
+
+
+def changed_letters(name: str) -> list[str]:
+    """The name with one letter changed, at each of its places."""
+    found = []
+    for at, letter in enumerate(name):
+        other = LETTERS[(LETTERS.index(letter) + 7) % 36] if letter in LETTERS else "x"
+        found.append(name[:at] + other + name[at + 1 :])
+    return found
+
+
+def other_spellings(name: str) -> list[str]:
+    """What somebody might take for the same name, and what is no name at all."""
+    head, dash, _ = name.partition("-")
+    return [
+        head,
+        head + dash,
+        name + "-x",
+        name + "-" + name.rpartition("-")[2],
+        name.upper(),
+        name + "/",
+        name + "?x=1",
+        name + "%20",
+        name.replace(".", "%2e"),
+        name + "," + name,
+        name + " " + name,
+        name[:-1],
+        name[1:],
+        "",
+        "-",
+        ".",
+        "x" * 10_000,
+        name * 200,
+        "\x00",
+        "é",
+    ]
+
+
+@pytest.mark.parametrize("body", [False, True])
+def test_only_the_spelling_that_was_given_out_is_a_name(cluster: Cluster, body: bool) -> None:
+    name = cluster.named("c1", delay=60.0)
+    for node in ("c1", "c2"):
+        assert cluster.ask(node, name, body=body).status == 200
+        wrong = {
+            other: status
+            for other in changed_letters(name) + other_spellings(name)
+            if (status := cluster.ask(node, other, body=body).status) not in NOT_SHOWN
+        }
+        assert not wrong
+
+
+def test_who_has_one_name_cannot_make_another(cluster: Cluster) -> None:
+    """Its neighbours are messages that somebody sent, and their names were given to others."""
+    names = [cluster.named("c1", delay=60.0) for _ in range(40)]
+    shown = []
+    for name in names[::20]:
+        for at in range(len(name)):
+            for letter in LETTERS:
+                made = name[:at] + letter + name[at + 1 :]
+                if made not in names and cluster.ask("c2", made).status not in NOT_SHOWN:
+                    shown.append(made)
+        pieces = name.split(".")
+        for other in names:  # one piece of a name put into another
+            for at, piece in enumerate(other.split(".")):
+                made = ".".join([*pieces[:at], piece, *pieces[at + 1 :]])
+                if made not in names and cluster.ask("c2", made).status not in NOT_SHOWN:
+                    shown.append(made)
+    assert not shown
+
+
+def test_a_message_is_shown_under_its_own_host_alone(cluster: Cluster) -> None:
+    name = cluster.named("c1", delay=60.0)
+    for host in (b"h", b"H", b"h:8080"):  # as routes take it
+        assert cluster.ask("c2", name, host).status == 200
+    for host in (b"other", b"hh", b"h.example", b"", b"h,h"):
+        assert cluster.ask("c2", name, host).status in NOT_SHOWN
+        assert cluster.ask("c2", name, host, body=True).status in NOT_SHOWN
+
+
+def test_a_true_name_is_shown_by_every_gateway_for_as_long_as_it_has_to_be() -> None:
+    cluster = Cluster(counters=3, depots=3)
+    name = cluster.named("c1")
+    cluster.run(0.1)
+    [mid] = cluster.out
+    cluster.answer(mid)
+    cluster.run(1.0)
+    cluster.end("c1")  # whoever gave the name out has gone
+    cluster.start_counter("c1", 11)
+    cluster.introduce()
+    cluster.run(4.0)
+    for node in ("c1", "c2", "c3"):
+        told = cluster.ask(node, name)
+        assert (told.status, json.loads(told.body)) == (200, {"state": "complete", "seal": "seal of c1"})
+    for one in ("d1", "d2"):  # one depot after the other cannot say: never 404
+        cluster.end(one)
+        assert cluster.ask("c2", name).status in (200, 503)
