Mend: a message has one name, compared whole, that nobody can guess or ask under another host

Cause: what a client wrote was taken for proof of a message.

Ruled out: a state of a message that was refused or unsure (nobody was told its name, and a name cannot be made any more); a life used twice gives no name twice, as 64 random bits are in each.

Change: the name that a client is given is the one that every process keeps the message by: gateway, start, number, 64 random bits, hints of the stores asked, and a check over all that and the host. A name that is not of that form, or whose check is wrong, is answered 404 without asking a store. The stores look it up whole. Names of the version before still lead to their messages, if their tags are those of who keeps it; else 503. A question's query is part of what was asked, no longer passed over. Answers of 202 no longer differ from names inside: logs, operators' calls and clients say the same.

--- a/opalwick/post/counter/front.py
+++ b/opalwick/post/counter/front.py
@@ -4,7 +4,7 @@
 
 import json
 import re
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from opalwick.post.wire_pb2 import Field, Letter
 from opalwick.protocol.conversation import Call, Conversation, House
@@ -74,22 +74,37 @@
     ), float(delay or b"0") / 1000.0
 
 
+class Question(NamedTuple):
+    """A client asks for a message: for its bytes, or for its state."""
+
+    name: str  # as it was written
+    body: bool
+
+
+def question(message: Message) -> Question | None:
+    """What a request asks of a message; None: it asks for something else. All that follows the path's first
+    part is taken for the name, a query too: a name has one spelling.
+    """
+    if message.method == b"GET":
+        for stem, body in ((b"/message/", False), (b"/message-body/", True)):
+            if message.target.startswith(stem):
+                return Question(message.target[len(stem) :].decode("latin-1"), body)
+    return None
+
+
 class Counting(Conversation):
     """A client's connection."""
 
     house: Any
 
     def whole(self, message: Message, now: float) -> None:
-        path = message.target.split(b"?", 1)[0]
         call = self.asks(message)
-        if message.method == b"GET":
-            if path == b"/readyz":
-                call.answer(200 if self.house.ready() else 503)
-                return
-            for stem, body in ((b"/message/", False), (b"/message-body/", True)):
-                if path.startswith(stem):
-                    self.house.asked_back(call, path[len(stem) :].decode("latin-1"), body)
-                    return
+        if message.method == b"GET" and message.target.partition(b"?")[0] == b"/readyz":
+            call.answer(200 if self.house.ready() else 503)
+            return
+        if (asked := question(message)) is not None:
+            self.house.asked_back(call, asked.name, asked.body)
+            return
         try:
             letter, delay = decode(message)
         except Malformed as problem:
--- a/opalwick/post/counter/intake.py
+++ b/opalwick/post/counter/intake.py
@@ -8,11 +8,10 @@
 
 import heapq
 import zlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 from opalwick.post.home.policy import Policy
-from opalwick.post.names import shown
 from opalwick.post.wire_pb2 import Holders, Keep, Letter, Refuse
 
 HEDGE = 0.04  # s until one more depot is asked: half of the shortest aim, several syncs and trips
@@ -23,6 +22,11 @@
 FRESH = 0.8  # s without a word after which a depot is passed over: three pulses
 
 
+def known_name(letter: Letter) -> str:
+    """Of a message that has its whole name already."""
+    return letter.mid
+
+
 class Told(NamedTuple):
     """To the client: 202 with the message's name, 503 or 504."""
 
@@ -130,13 +134,17 @@
         waits = [mid for mid, wait in self.waits.items() if node in wait.asked and not wait.parked]
         return waits + [letter.mid for letter, touched in self.accepted if node in touched]
 
-    def offered(self, call: Any, letter: Letter, parked: bool) -> None:
+    def offered(
+        self, call: Any, letter: Letter, parked: bool, name: Callable[[Letter], str] = known_name
+    ) -> None:
+        """`name`: the message's whole name, once `letter.holders` says which depots are asked to keep it."""
         order = self.order(letter.mid, letter.home)[: self.copies]
         if len(order) < self.copies or len(self.waits) >= self.most:
             self.figures["refused"] += 1
             self.told.append(Told(call, 503))
             return
         letter.holders.extend(depot.node for depot in order)
+        letter.mid = name(letter)
         wait = self.waits[letter.mid] = Wait(call, letter, parked, self.now)
         for depot in order:
             self.ask(wait, depot.node)
@@ -170,7 +178,7 @@
                 for one in touched:  # one whose disk is behind might assign it from memory
                     self.sends.append((one, "holders", Holders(mid=mid, holders=holders)))
             self.figures["accepted"] += 1
-            self.told.append(Told(wait.call, 202, shown(mid, holders)))
+            self.told.append(Told(wait.call, 202, mid))
             if not wait.parked:
                 self.accepted.append(Accepted(letter, touched))
             if wait.taken_away:
--- a/opalwick/post/counter/role.py
+++ b/opalwick/post/counter/role.py
@@ -8,6 +8,7 @@
 
 import json
 import math
+import os
 from typing import Any
 from zlib import crc32
 
@@ -23,7 +24,7 @@
 from opalwick.post.home.guard import Guard
 from opalwick.post.home.policy import named
 from opalwick.post.home.short import Short
-from opalwick.post.names import short, split, tag
+from opalwick.post.names import Asked, Names, RandomOctets, finish, read
 from opalwick.post.settings import Settings
 from opalwick.post.station import Link, Station
 from opalwick.post.verdict import Verdict
@@ -47,17 +48,22 @@
 DIALLED = 0.3  # s that one that is not among its own is: a connection and a trip between regions, five times
 
 
+def whole_name(letter: Letter) -> str:
+    """Of a message whose name has been begun, and whose depots are known."""
+    return finish(letter.mid, letter.holders, letter.host.decode("latin-1"))
+
+
 class AskBack:
     """A client asks for a message's state or octets: its depots in turn, then the others."""
 
-    __slots__ = ("body", "call", "left", "mid", "name", "pending", "sure", "tags", "until")
+    __slots__ = ("asked", "body", "call", "left", "name", "pending", "sure", "until")
 
-    def __init__(
-        self, call: Call, name: str, mid: str, tags: list[str], body: bool, left: list[str], sure: bool
-    ) -> None:
-        """`name`: as the client wrote it."""
-        self.call, self.name = call, name
-        self.mid, self.tags, self.body, self.left, self.sure = mid, tags, body, left, sure
+    def __init__(self, call: Call, name: str, asked: Asked, body: bool, left: list[str], sure: bool) -> None:
+        """`name`: as the client wrote it; `left`: depots that are to be asked; `sure`: all that may have it
+        are among them and have said so far that they do not.
+        """
+        self.call, self.name, self.asked = call, name, asked
+        self.body, self.left, self.sure = body, left, sure
         self.pending: Told | None = None
         self.until = 0.0
 
@@ -65,8 +71,17 @@
 class Counter(Station):
     role = "counter"
 
-    def __init__(self, settings: Settings, life: int, now: float, accepts: int) -> None:
-        """`accepts`: messages that may be on their way to depots at once."""
+    def __init__(
+        self,
+        settings: Settings,
+        life: int,
+        now: float,
+        accepts: int,
+        random_octets: RandomOctets = os.urandom,
+    ) -> None:
+        """`accepts`: messages that may be on their way to depots at once. `random_octets`: for names of
+        messages.
+        """
         super().__init__(settings, life, now)
         seed = crc32(f"{self.node}/{life}".encode())
         self.copies = settings.survive.boxes + 1
@@ -92,7 +107,7 @@
         self.left_at = 0.0  # when it was told to end
         self.parked_at = math.inf  # when it gave back first what it held
         self.sweep_at = now
-        self.prefix = f"{tag(self.node)}.{short(life)}."
+        self.names = Names(self.node, life, random_octets)
         self.counts = dict.fromkeys(
             ("asked_back", "asked_found", "asked_unknown", "asked_unsure", "no_route", "away", "away_octets"),
             0,
@@ -319,14 +334,14 @@
             fault(call, 429, "its share of what is left is in use", f"Retry-After: {wait:.1f}")
             return
         self.serial += 1
-        letter.mid = self.prefix + short(self.serial)
+        letter.mid = self.names.begin(self.serial)
         letter.gen = routes.gen
         letter.due = max(0.0, message.first_at + delay - now) if delay else 0.0
         letter.until = max(0.0, message.first_at + route.retain - now)
         if self.guard.policy is not None and not self.homely(call, letter, route):
             return
         parked = letter.due > PARK or self.heavy > HEAVY * self.settings.mem_mb * 1e6
-        self.intake.offered(call, letter, parked)
+        self.intake.offered(call, letter, parked, whole_name)
         self.settle()
 
     def homely(self, call: Call, letter: Letter, route: Route) -> bool:
@@ -395,19 +410,23 @@
         if len(self.asks) >= ASKS:
             self.not_shown(call, name, body, 503, "too many questions under way")
             return
-        mid, tags = split(name)
+        asked = read(name, field(call.message, b"host").decode("latin-1"))
+        if asked is None:
+            self.not_shown(call, name, body, 404, "no such message")
+            return
         depots = self.nodes("depot")
-        sure = bool(depots) and all(any(tag(depot.node) == t for depot in depots) for t in tags)
+        hinted = {depot.node for depot in depots if asked.hinted(depot.node)}
+        sure = asked.all_among(depot.node for depot in depots)
         # of those that have it the near one first: a body that crosses zones is dear
         depots.sort(
             key=lambda depot: (
-                tag(depot.node) not in tags,
+                depot.node not in hinted,
                 depot.node not in self.links,
                 depot.zone != self.zone,
                 depot.node,
             )
         )
-        self.ask_next(AskBack(call, name, mid, tags, body, [depot.node for depot in depots], sure))
+        self.ask_next(AskBack(call, name, asked, body, [depot.node for depot in depots], sure))
 
     def ask_next(self, ask: AskBack) -> None:
         if ask.left:
@@ -415,7 +434,8 @@
             self.serial += 1
             ask.until = self.now + ASK
             self.asks[self.serial] = ask
-            self.call_on(node, "ask", Ask(call=self.serial, mid=ask.mid, body=ask.body))
+            word = Ask(call=self.serial, mid=ask.asked.mid, body=ask.body, tags=ask.asked.tags)
+            self.call_on(node, "ask", word)
         elif ask.pending is not None:
             self.tell_back(ask, ask.pending)
         elif ask.sure:
@@ -429,7 +449,7 @@
             return
         if word.state not in (1, 2, 3):
             ask.sure = ask.sure and word.state == UNKNOWN
-        elif word.state == 1 and ask.pending is None and len(ask.tags) > 1 and not ask.body:
+        elif word.state == 1 and ask.pending is None and ask.asked.copies > 1 and not ask.body:
             ask.pending = word  # the other may know that it has ended
         else:
             self.tell_back(ask, word)
--- a/opalwick/post/counter/status.py
+++ b/opalwick/post/counter/status.py
@@ -9,7 +9,7 @@
 from opalwick.post.counter.desks import Desk
 from opalwick.post.counter.item import Item
 from opalwick.post.counter.role import HEAVY, Counter
-from opalwick.post.names import split
+from opalwick.post.names import kept_by
 from opalwick.post.operators import since
 
 # figures that tell of now; all others count since the start
@@ -200,7 +200,7 @@
 
 def message(role: Counter, name: str) -> dict[str, Any] | None:
     """By its name, or by its request id while it is held here."""
-    r, mid = role.rounds, split(name)[0]
+    r, mid = role.rounds, kept_by(name)
     if (wait := role.intake.waits.get(mid)) is not None:
         return {
             "id": mid,
--- a/opalwick/post/depot/keeping.py
+++ b/opalwick/post/depot/keeping.py
@@ -521,6 +521,11 @@
             return Told(state=PENDING)
         return Told(state=UNKNOWN if self.settled else UNSURE)
 
+    def holders_of(self, mid: str) -> tuple[str, ...]:
+        """Who keeps it, or kept it when it ended; none where it is not known."""
+        known = self.entries.get(mid) or self.ends.get(mid)
+        return known.holders if known is not None else ()
+
     # ---- other depots
 
     def send(self, node: str, kind: str, word: Any) -> None:
--- a/opalwick/post/depot/role.py
+++ b/opalwick/post/depot/role.py
@@ -9,13 +9,14 @@
 import math
 from typing import Any
 
-from opalwick.post.depot.keeping import DEAD, PENDING, UNSURE, Keeping
+from opalwick.post.depot.keeping import COMPLETE, DEAD, PENDING, UNSURE, Keeping
 from opalwick.post.depot.records import Fetch, Write
 from opalwick.post.files import ROTTEN
 from opalwick.post.home.guard import Guard
+from opalwick.post.names import is_name_of
 from opalwick.post.settings import Settings
 from opalwick.post.station import Link, Station
-from opalwick.post.wire_pb2 import Hand, Hello, Kept, Letter, News, Pulse
+from opalwick.post.wire_pb2 import Hand, Hello, Kept, Letter, News, Pulse, Told
 
 ROOM = 0.4  # of the disk that messages may take: sqlite's pages, its log and freed room take as much again
 LEAST = 0.02  # s of a batch on its way that are told: a usual one takes a tenth of it
@@ -177,6 +178,9 @@
 
     def answer(self, link: Link, word: Any) -> None:
         told = self.keeping.state(word.mid)
+        if word.tags and told.state in (PENDING, COMPLETE, DEAD):
+            if not is_name_of(word.tags, self.keeping.holders_of(word.mid)):
+                told = Told(state=UNSURE)  # another name, or others keep it by now
         told.call = word.call
         if word.body and told.state in (PENDING, DEAD):
             self.queue.append(Fetch(word.mid, ("told", link, word.call)))
