Lab: callers who ask for names that nobody was given; the judge holds MIXED and LOST for names

Change: strangers ask eight times a second, at any gateway, also one that has just started, is cut off or stands still, for names that were altered, cut, guessed, made up in the right form, of the version before, or asked under another host. The judge: anything but 404 and 503 is MIXED, 404 for the state of a true name is LOST. Three planted faults (twenty in all) show that both are seen.

--- a/opalwick/lab/post/day.py
+++ b/opalwick/lab/post/day.py
@@ -79,6 +79,7 @@
     ceil_win: Seconds = Seconds(5)
     ceil_excess: float = 1.1
     reuse: Seconds = Seconds(2)
+    state: Seconds = Seconds(120)
 
 
 class Network(Struct, forbid_unknown_fields=True):
@@ -131,6 +132,7 @@
     delay: Seconds = Seconds(2.0)  # by how much, in the mean
     poison: float = 0.01
     asks: float = 0.2  # share of the accepted that are asked back meanwhile
+    strangers: float = 8.0  # questions a second for names that nobody was given
     beat: Seconds = Seconds(1.2)
     disk_mb: float = 400.0
     sync: Seconds = Seconds(0.001)
@@ -178,6 +180,7 @@
     "delayed": (0, 1),
     "poison": (0, 1),
     "asks": (0, 1),
+    "strangers": (0, 1000),
     "length": (0.5, 600),
     "after": (0, 600),
     "most": (0, 1e6),
--- a/opalwick/lab/post/history.py
+++ b/opalwick/lab/post/history.py
@@ -10,6 +10,7 @@
   answer (id, status, name), broke (id, whether it was read), silent (id)  how that ended for the client
   asked (id, "state" | "body", counter), told (id, which, status, state, seal, whether the bytes are
       those sent)
+  asked_wrong (number, kind, counter, name), told_wrong (number, status)   for a name that nobody was given
   arrived (run, id, worker, service, counter, whether it is what was sent)  at a worker
   turned (run, status), began (run), finished (run, status, seal)          and what became of it
   said (run, status, seal), read (run)      the whole answer went out; its sender has read it
@@ -48,6 +49,16 @@
     ways: frozenset[tuple[str, str]]
 
 
+class StrangeQuestion:
+    """Somebody asked for a message by a name that nobody was given, or under another host."""
+
+    __slots__ = ("at", "counter", "kind", "name", "status")
+
+    def __init__(self, at: float, kind: str, counter: str, name: str) -> None:
+        self.at, self.kind, self.counter, self.name = at, kind, counter, name
+        self.status = 0  # of the answer; 0 and less: there was none
+
+
 class Run:
     __slots__ = (
         "at",
@@ -128,6 +139,7 @@
         self.spells: list[Spell] = []
         self.lives: dict[str, list[tuple[float, int]]] = defaultdict(list)
         self.told: list[tuple[float, str, str, int, str, str, bool]] = []
+        self.strange: dict[int, StrangeQuestion] = {}
         self.bare: list[tuple[float, str]] = []
         self.copies: dict[str, int] = {}
         self.conf_sent: dict[int, float] = {}
@@ -185,6 +197,10 @@
                 self.copies[f[0]] = f[1]
             elif what == "told":
                 self.told.append((at, *f))  # type: ignore[arg-type]
+            elif what == "asked_wrong":
+                self.strange[f[0]] = StrangeQuestion(at, *f[1:])
+            elif what == "told_wrong":
+                self.strange[f[0]].status = f[1]
             elif what == "trouble":
                 open_[f[0]] = at, f[1], f[2], f[3], f[4]
             elif what == "well":
--- a/opalwick/lab/post/judge.py
+++ b/opalwick/lab/post/judge.py
@@ -21,6 +21,8 @@
             self.twice,
             self.again,
             self.asked,
+            self.strangers,
+            self.denied,
             self.lost,
             self.kept,
             self.ceiling,
--- a/opalwick/lab/post/rules_messages.py
+++ b/opalwick/lab/post/rules_messages.py
@@ -132,6 +132,19 @@
             elif state != "pending":
                 self.breach("MIXED", at, id, f"the state {state!r}")
 
+    def strangers(self) -> None:
+        """MIXED: something is shown for a name that nobody was given, or is answered as if it were one."""
+        for one in self.strange.values():
+            if one.status > 0 and one.status not in (404, 503):
+                self.breach("MIXED", one.at, one.name[:64], f"{one.counter} answers {one.status}: {one.kind}")
+
+    def denied(self) -> None:
+        """LOST: 404 for the state of a message whose end has not been over for longer than it is told."""
+        for at, id, what, status, *_ in self.told:
+            one = self.tries[id]
+            if what == "state" and status == 404 and not self.ended_by(one, at - self.bounds["state"]):
+                self.breach("LOST", at, id, "its state is asked by its name, and answered 404")
+
     def lost(self) -> None:
         """LOST: what was accepted has not ended, and is not there at the end."""
         if self.asking_at == INF:
--- a/opalwick/lab/post/world.py
+++ b/opalwick/lab/post/world.py
@@ -14,6 +14,7 @@
 from opalwick.lab.post.net import Net
 from opalwick.lab.post.process import Machine
 from opalwick.lab.post.roles import Sending
+from opalwick.lab.post.strangers import Strangers
 from opalwick.lab.post.workers import Run, Table, Worker, request
 
 FIRST = 0.6  # s until the operator's first configuration
@@ -60,6 +61,7 @@
         self.at_address: dict[tuple[str, int], Worker] = {}
         self.workers: list[Worker] = []
         self.platform, self.clients, self.operator = self.platform_of(self), Clients(self), Operator(self)
+        self.strangers = Strangers(self)
         self.begins_at = 0.0
         self.ends_at = self.patience
         self.shaded: list[tuple[str, float, float]] = []
@@ -99,6 +101,7 @@
         self.ends_at = until + day.after + ASKING
         self.note("traffic", self.begins_at, until)
         self.agenda.at(self.begins_at, self.clients.begin, until)
+        self.agenda.at(self.begins_at, self.strangers.begin)
         self.agenda.at(until + day.after, self.asks)
         self.on_traffic()
         self.inspect()
--- a/tests/test_lab_post_mutants.py
+++ b/tests/test_lab_post_mutants.py
@@ -1,4 +1,4 @@
-"""The judge of the post's lab is trusted as far as it has caught something: seventeen faults planted into the
+"""The judge of the post's lab is trusted as far as it has caught something: twenty faults planted into the
 roles, each found within a handful of seeds on a day that brings it about, and nothing without the fault."""
 
 from __future__ import annotations
@@ -10,11 +10,12 @@
 
 from opalwick.lab.post.day import parse
 from opalwick.lab.post.run import run
+from opalwick.post import names
 from opalwick.post.counter.ceilings import Ceilings, Held
 from opalwick.post.counter.role import Counter
 from opalwick.post.counter.rounds import Rounds
 from opalwick.post.depot import keeping
-from opalwick.post.depot.keeping import Keeping
+from opalwick.post.depot.keeping import COMPLETE, DEAD, PENDING, UNKNOWN, Keeping
 from opalwick.post.depot.moving import Moving
 from opalwick.post.depot.records import Send, Write
 from opalwick.post.depot.role import Depot
@@ -296,6 +297,36 @@
     patch.setattr(Notices, "tell", tell)
 
 
+@mutant("", "MIXED")
+def a_message_is_shown_under_any_host(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(names, "bare_host", lambda host: "")
+
+
+@mutant("", "MIXED")
+def stores_compare_a_piece_of_a_name(patch: pytest.MonkeyPatch) -> None:
+    """Whoever writes the rest as it should be sees the message of that number."""
+    state = Keeping.state
+
+    def by_number(keeping: Keeping, mid: str) -> Told:
+        pieces = mid.split(".")[:3]
+        known = [one for one in [*keeping.entries, *keeping.ends] if one.split(".")[:3] == pieces]
+        return state(keeping, known[0] if known else mid)
+
+    patch.setattr(Keeping, "state", by_number)
+
+
+@mutant("asks = 1.0\n" + fault("wipe", 1.0, of=["depot-0"], size=0.3), "LOST")
+def a_name_is_denied_by_the_first_store_that_does_not_know_it(patch: pytest.MonkeyPatch) -> None:
+    told_back = Counter.told_back
+
+    def deny(counter: Counter, word: Told) -> None:
+        if (ask := counter.asks.get(word.call)) is not None and word.state not in (PENDING, COMPLETE, DEAD):
+            ask.left, ask.sure, word.state = [], True, UNKNOWN
+        told_back(counter, word)
+
+    patch.setattr(Counter, "told_back", deny)
+
+
 @pytest.mark.parametrize("name", sorted(MUTANTS))
 def test_a_planted_fault_is_caught(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     plant, day, expected, *_ = MUTANTS[name]
