Mend: a signal that comes while a process starts neither ends it nor is lost

Cause: SIGHUP and SIGTERM had their default effect until the settings had been read and handlers set; and a settings file that changed between its reading and the first look at its stamp was not read again. Found by reading, for a soak in which signals come in series.

Ruled out: the interpreter's own start (some 20 ms before the first line of ours) can't be covered from here.

Change: SIGHUP is ignored at once, handlers stand before the settings are read, the stamp is taken before the reading.

Measured: the two cases of the new test fail without this.

--- a/opalwick/post/__main__.py
+++ b/opalwick/post/__main__.py
@@ -45,17 +45,23 @@
 
 
 def main(arguments: list[str]) -> int:
+    # until there are handlers a SIGHUP would end the process; the settings are read after that
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     import gevent
     from gevent.event import Event
 
     from opalwick.post import events
-    from opalwick.post.link import Process
+    from opalwick.post.link import Process, stamp
     from opalwick.post.settings import Faulty, read
 
     path = os.environ.get("OPALWICK_CONFIG", "")
     if not path:
         print("opalwick post: OPALWICK_CONFIG names no settings file", file=sys.stderr)
         return 2
+    stop, again = Event(), Event()
+    for number, event in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGHUP, again)):
+        gevent.signal_handler(number, event.set)
+    seen = stamp(path)
     try:
         settings = read(path)
     except Faulty as problem:
@@ -67,22 +73,20 @@
         print(f"opalwick post: {problem}", file=sys.stderr)
         return 2
     events.begin(options.trace)
-    stop, again = Event(), Event()
-    for number, event in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGHUP, again)):
-        gevent.signal_handler(number, event.set)
+    process = Process(stop, again, path, options.metrics, seen)
     # each role imports only what it needs: a start costs a small machine whole seconds
     if arguments == ["carrier", "counter"]:
         from opalwick.post.counter.agent import CounterShell
 
-        CounterShell(settings, Process(stop, again, path, options.metrics)).serve()
+        CounterShell(settings, process).serve()
     elif arguments == ["carrier", "depot"]:
         from opalwick.post.depot.agent import DepotShell
 
-        DepotShell(settings, Process(stop, again, path, options.metrics)).serve()
+        DepotShell(settings, process).serve()
     elif arguments == ["postmaster"]:
         from opalwick.post.office.agent import OfficeShell
 
-        OfficeShell(settings, Process(stop, again, path, options.metrics)).serve()
+        OfficeShell(settings, process).serve()
     else:
         print(USAGE, file=sys.stderr)
         return 2
--- a/opalwick/post/link.py
+++ b/opalwick/post/link.py
@@ -146,13 +146,25 @@
             self.shell.guarded(self.role.parted, self)
 
 
+def stamp(path: str) -> tuple[int, int]:
+    """When a file was written last, in ns, and its octets; noughts where there is none."""
+    try:
+        found = os.stat(path)
+    except OSError:
+        return 0, 0
+    return found.st_mtime_ns, found.st_size
+
+
 class Process(NamedTuple):
-    """What the platform says to a process: to end, to read its settings again; and where those stand."""
+    """What the platform says to a process: to end, to read its settings again; and where those stand.
+    `seen`: that file's stamp before it was read; what was changed since is read again.
+    """
 
     stop: Event
     again: Event
     path: str
     metrics: Metrics | None = None
+    seen: tuple[int, int] = (0, 0)
 
 
 class Shell:
@@ -275,14 +287,14 @@
 
     def reread(self) -> None:
         """Runs in a greenlet of its own. The file may change without a signal, too."""
-        seen = self.stamp()
+        seen = self.process.seen
         while True:
             signalled = self.process.again.wait(LOOK)
             self.process.again.clear()
-            stamp = self.stamp()
-            if not signalled and stamp == seen:
+            found = stamp(self.process.path)
+            if not signalled and found == seen:
                 continue
-            seen = stamp
+            seen = found
             try:
                 settings = read(self.process.path)
             except Faulty as problem:  # it goes on with what it has
@@ -293,13 +305,6 @@
             events.say(904, seeds=",".join(f"{host}:{port}" for host, port in settings.seeds))
             self.settle()
 
-    def stamp(self) -> tuple[int, int]:
-        try:
-            found = os.stat(self.process.path)
-        except OSError:
-            return 0, 0
-        return found.st_mtime_ns, found.st_size
-
     # ---- running
 
     def begin(self) -> None:
--- a/tests/test_post_settings.py
+++ b/tests/test_post_settings.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
+from pathlib import Path
+
 import pytest
 
 from opalwick.post.settings import Bounds, Faulty, Survive, parse, read
@@ -92,3 +96,20 @@
     path.write_bytes(EDGE.encode() + b"\xff\n")
     with pytest.raises(Faulty, match=r"settings\.conf:19: this line is no UTF-8"):
         read(str(path))
+
+
+@pytest.mark.parametrize("ends", ["SIGHUP", "SIGTERM"])
+def test_a_signal_that_comes_while_a_process_starts_is_not_its_end(ends: str) -> None:
+    """One came before there were handlers: the process ended by the signal."""
+    code = f"""
+import os, signal, sys
+from opalwick.post import __main__ as program, settings
+def read(path):
+    os.kill(os.getpid(), signal.{ends})
+    raise settings.Faulty("the file is read after that")
+settings.read = read
+sys.exit(program.main(["carrier", "counter"]))
+"""
+    env = {"OPALWICK_CONFIG": "any", "PYTHONPATH": str(Path(__file__).parent.parent), "PATH": "/usr/bin"}
+    done = subprocess.run([sys.executable, "-c", code], env=env, capture_output=True, text=True, timeout=30)
+    assert (done.returncode, done.stderr) == (2, "the file is read after that\n")
