Mend: an id that no worker can have is not kept as one that has left

Cause: DELETE /workers/ID took any id, of any length, and had it kept by and told to all processes; PUT takes 128 printable characters.

Measured: the four cases of the new test fail without this.

--- a/opalwick/post/beats.py
+++ b/opalwick/post/beats.py
@@ -15,6 +15,7 @@
 NEEDED = ("svc", "address", "capacity", "state", "calls")
 OPTIONAL = ("id", "az", "gen", "chill_ms")
 _ID = re.compile(r"[!-.0-~]{1,128}")
+BAD_ID = "the id in the path must be 1 to 128 printable characters without space or '/'"
 _MOST = 2**31 - 1  # slots, and the milliseconds of a slow start
 _MOST_CALLS = 2**63 - 1
 
@@ -33,10 +34,15 @@
     calls: int  # rises: a late beat is known by it
 
 
+def is_worker_id(id: str) -> bool:
+    """Whether a worker may have it: none that cannot be registered is kept as one that has left either."""
+    return _ID.fullmatch(id) is not None
+
+
 def beat(id: str, body: bytes) -> Result[Beat, str]:
     """A Failure is one sentence that names the field."""
-    if _ID.fullmatch(id) is None:
-        return Failure("the id in the path must be 1 to 128 printable characters without space or '/'")
+    if not is_worker_id(id):
+        return Failure(BAD_ID)
     try:
         given: Any = json.loads(body.decode("utf-8"))
     except (ValueError, RecursionError) as e:
--- a/opalwick/post/office/role.py
+++ b/opalwick/post/office/role.py
@@ -13,6 +13,7 @@
 
 from returns.result import Success
 
+from opalwick.post.beats import BAD_ID, is_worker_id
 from opalwick.post.beats import beat as read_beat
 from opalwick.post.configuration import Configuration, check
 from opalwick.post.directory import empty
@@ -508,6 +509,8 @@
             case b"workers", b"PUT", True:
                 self.beaten(call, name, message.body)
             case b"workers", b"DELETE", True:
+                if not is_worker_id(name):
+                    raise Malformed(400, BAD_ID)
                 news, changed = self.registry.left(self.now, name)
                 self.confirm(call, name, news, changed)
             case b"conf", b"PUT", False:
--- a/tests/test_post_safety.py
+++ b/tests/test_post_safety.py
@@ -32,7 +32,7 @@
     Service,
     View,
 )
-from opalwick.protocol.http import Message
+from opalwick.protocol.http import Malformed, Message
 
 OFFICE = """node=o1
 role=office
@@ -123,6 +123,16 @@
     assert call.status == 200
 
 
+@pytest.mark.parametrize("id", ["x" * 129, "a%20b", "a%2fb", "a%7f"])
+def test_who_cannot_be_registered_is_not_kept_as_one_that_has_left(id: str) -> None:
+    """An id of any length went to all processes, and stood in their directories."""
+    o = office(1)
+    for method, body in (("PUT", WORKER), ("DELETE", None)):
+        with pytest.raises(Malformed, match="id in the path"):
+            asks(o, method, f"/workers/{id}", body)
+    assert not o.directory.workers
+
+
 def test_a_drain_that_no_majority_takes_in_has_an_answer_in_time_which_promises_nothing() -> None:
     o = office(1, 2, 3)
     linked(o, 2, 3)  # the links are up, and nothing comes back
