Soak: open connections, signals and changes in series, histories of many processes

Cause: the soak opened a connection for each request, changed nothing while it hurt, and had nine processes.

New kind of trouble: hup, on both clocks.

--- a/opalwick/lab/post/faults.py
+++ b/opalwick/lab/post/faults.py
@@ -265,6 +265,24 @@
     yield
 
 
+@fault
+def hup(scene: Scene, fault: Fault, draw: random.Random) -> Steps:
+    """Again and again while it lasts. Planned work: nothing counts as lost by it."""
+    hit = scene.machines(fault, draw)
+    number = scene.world.trouble(fault.kind, True, [machine.node for machine in hit], [])
+    over = [False]
+
+    def turn(at: int) -> None:
+        if not over[0] and hit:
+            hit[at % len(hit)].hup()
+            scene.agenda.after(max(0.01, _size(fault)), turn, at + 1)
+
+    turn(0)
+    yield
+    over[0] = True
+    scene.world.well(number)
+
+
 @fault
 def freeze(scene: Scene, fault: Fault, draw: random.Random) -> Steps:
     hit = scene.bears(scene.machines(fault, draw))
--- a/opalwick/lab/post/kinds.py
+++ b/opalwick/lab/post/kinds.py
@@ -26,6 +26,11 @@
         (0.3, 3.0),
     ),
     "emptied": Kind("a depot is to be emptied, and is taken away once it says so", 1.0, (1.0, 1.0)),
+    "hup": Kind(
+        "settings files change, and processes are told (SIGHUP), one after the other, SIZE seconds apart",
+        0.3,
+        (0.02, 1.0),
+    ),
     "freeze": Kind("processes stand still while it lasts", 1.0, (1.0, 1.0)),
     "stutter": Kind("processes stand still for SIZE seconds, again and again", 0.4, (0.05, 2.6)),
     "step": Kind("the time of day of machines steps by SIZE seconds", 0.5, (-2.0, 2.0)),
--- a/opalwick/lab/post/process.py
+++ b/opalwick/lab/post/process.py
@@ -129,6 +129,11 @@
             bounds=replace(base().bounds, **bounds),
         )
 
+    def hup(self) -> None:
+        """Its settings file has changed in nothing that matters, and its process is told."""
+        if self.proc is not None:
+            self.proc.event(self.proc.role.resettle, self.settings())
+
     def start(self) -> None:
         if self.proc is None and not self.downs:
             self.power = True
--- a/opalwick/lab/post/sockets/kinds.py
+++ b/opalwick/lab/post/sockets/kinds.py
@@ -6,13 +6,13 @@
 from opalwick.lab.post.day import PostDay
 from opalwick.lab.post.kinds import KINDS
 
-MACHINES = ("kill", "wipe", "term", "freeze", "stutter", "kill_all", "alone", "cut_workers")
+MACHINES = ("kill", "wipe", "term", "hup", "freeze", "stutter", "kill_all", "alone", "cut_workers")
 LINKS = tuple(name for name, kind in KINDS.items() if kind.on == "links")
 BORNE = (
     MACHINES
     + LINKS
     + tuple(name for name, kind in KINDS.items() if kind.on == "workers")
-    + ("burst", "poison", "changes", "races", "stale", "invalid")
+    + ("burst", "poison", "changes", "races", "reads", "stale", "invalid", "orders_again", "lost_acks")
 )
 # what a hunt on processes draws from
 DRAWN = (
--- a/opalwick/lab/post/sockets/machine.py
+++ b/opalwick/lab/post/sockets/machine.py
@@ -38,7 +38,7 @@
         self.ip = f"{world.net_of}.{10 + number}"
         self.draw = world.draws.of(f"machine/{node}")
         self.power = True
-        self.losses = self.starts = self.downs = self.still = 0
+        self.losses = self.starts = self.downs = self.still = self.told = 0
         self.proc: Any = None
         self.leaving = False
         self.dying: list[Any] = []  # killed, and still in the kernel's hands
@@ -160,6 +160,17 @@
         if self.proc is not None and self.still == (1 if still else 0):
             self.proc.send_signal(signal.SIGSTOP if still else signal.SIGCONT)
 
+    def hup(self) -> None:
+        """Its settings file changes, in a field that no process knows; SIGHUP."""
+        if self.proc is None:
+            return
+        self.told += 1
+        path = self.world.out.absolute() / f"{self.node}.conf"
+        fresh = path.with_suffix(".new")
+        fresh.write_text(f"{self.settings()}lab.told={self.told}\n")
+        fresh.rename(path)
+        self.proc.send_signal(signal.SIGHUP)
+
     def term(self) -> None:
         """SIGTERM, and SIGKILL where it is there too long."""
         if (proc := self.proc) is None or self.leaving:
--- a/opalwick/lab/post/sockets/world.py
+++ b/opalwick/lab/post/sockets/world.py
@@ -19,7 +19,7 @@
 import gevent
 
 from opalwick.lab.post.day import PostDay, Service
-from opalwick.lab.post.sockets.callers import SocketExchange, SocketPlatform
+from opalwick.lab.post.sockets.callers import SocketExchange, SocketKeptConnections, SocketPlatform
 from opalwick.lab.post.sockets.doors import HEARD, SocketDoor, answer
 from opalwick.lab.post.sockets.links import LinkRelay
 from opalwick.lab.post.sockets.machine import FRONT, LINKS, PORTS, SocketMachine
@@ -53,6 +53,7 @@
     machine_of = SocketMachine
     platform_of = SocketPlatform
     exchange = SocketExchange
+    kept_of = SocketKeptConnections
     patience = 40.0  # s: nine processes begin at once
 
     def __init__(self, day: PostDay, seed: int, out: Path | None = None) -> None:
--- a/opalwick/lab/post/strangers.py
+++ b/opalwick/lab/post/strangers.py
@@ -37,7 +37,7 @@
 
 
 def longer(draw: random.Random, name: str, other: str) -> Wrong:
-    return Wrong(name + draw.choice(("-x", "_0000", ".0", "0", "/", "%20", "?a=1", ",", " ", name)))
+    return Wrong(name + draw.choice(("-x", "_0000", ".0", "0", "/", "%20", "?a=1", ",", name)))
 
 
 def spelled(draw: random.Random, name: str, other: str) -> Wrong:
--- a/opalwick/lab/post/world.py
+++ b/opalwick/lab/post/world.py
@@ -11,6 +11,7 @@
 from opalwick.lab.ledger import Ledger
 from opalwick.lab.post.clients import Clients, Exchange, Operator, Platform, Want
 from opalwick.lab.post.day import PostDay, Service
+from opalwick.lab.post.kept import KeptConnections
 from opalwick.lab.post.net import Net
 from opalwick.lab.post.process import Machine
 from opalwick.lab.post.roles import Sending
@@ -31,6 +32,7 @@
     machine_of: Any = Machine
     platform_of: Any = Platform
     exchange: Any = Exchange
+    kept_of: Any = KeptConnections
     patience = GIVE_UP
 
     def __init__(self, day: PostDay, seed: int, words: bool = False) -> None:
@@ -61,7 +63,7 @@
         self.at_address: dict[tuple[str, int], Worker] = {}
         self.workers: list[Worker] = []
         self.platform, self.clients, self.operator = self.platform_of(self), Clients(self), Operator(self)
-        self.strangers = Strangers(self)
+        self.strangers, self.kept = Strangers(self), self.kept_of(self)
         self.begins_at = 0.0
         self.ends_at = self.patience
         self.shaded: list[tuple[str, float, float]] = []
--- a/tests/test_lab_post.py
+++ b/tests/test_lab_post.py
@@ -21,6 +21,7 @@
 from opalwick.lab.post.judge import judge
 from opalwick.lab.post.kinds import ALL, CHANGES, CLOSING, KINDS
 from opalwick.lab.post.run import history, hunt, play, run, shrink
+from opalwick.lab.post.strangers import KINDS as STRANGE
 from opalwick.lab.post.world import World
 from opalwick.post.depot.keeping import Keeping
 from opalwick.post.wire_pb2 import End
@@ -165,6 +166,33 @@
     assert begun(other + wipe).machines["depot-0"].disks == 1
 
 
+def test_clients_go_on_with_open_connections_at_a_counter_that_is_to_end() -> None:
+    text = "kept = 0.9\nrate = 60.0\n" + fault("term", rest='of = ["counter"]\npart = 1.0\nsize = 1.5\n')
+    world = play(short(text + fault("hup", 0.5, 4.0)), 4)
+    assert judge(history(world))["broken"] == []
+    told = {node: 0 for node in ("counter-0", "counter-1", "counter-2")}
+    leaving: set[str] = set()
+    for _, what, *f in world.ledger.rows:
+        if what == "trouble" and f[1] == "term":
+            leaving |= set(f[3])
+        elif what == "up":
+            leaving.discard(f[0])
+        elif what == "sent" and f[2] in leaving:
+            told[f[2]] += 1
+    assert all(count > 5 for count in told.values()), told
+
+
+def test_names_that_nobody_was_given_are_asked_for_everywhere_and_none_shows_anything() -> None:
+    world = play(
+        short("strangers = 200.0\n" + fault("kill", rest='of = ["counter", "depot"]\npart = 0.5\n')), 2
+    )
+    asked = [f for _, what, *f in world.ledger.rows if what == "asked_wrong"]
+    told = {f[1] for _, what, *f in world.ledger.rows if what == "told_wrong"}
+    assert {kind for _, kind, *_ in asked} == {kind.__name__ for kind in STRANGE}
+    assert {node for _, _, node, _ in asked} == {machine.node for machine in world.of("counter")}
+    assert {404, 503} <= told <= {404, 503, 0, -1} and judge(history(world))["broken"] == []
+
+
 def test_a_release_drains_and_an_address_gets_another_service() -> None:
     world = play(
         parse(
