Readable code: looking up messages is a module of its own, and states are an enum

Change: counter/lookup.py (Lookup, Lookups) out of counter/role.py, with what it needs of the gateway as a protocol; MessageState in place of the numbers 0 to 4 in gateway, store and check; named sets in place of tuples of numbers. One planted fault is played with three times the messages: copies and their names fall otherwise by the new numbers.

--- a/opalwick/lab/verify/depots.py
+++ b/opalwick/lab/verify/depots.py
@@ -23,9 +23,9 @@
 from opalwick.post.counter.role import Counter
 from opalwick.post.counter.routes import Routes
 from opalwick.post.depot.agent import load, on_disk
-from opalwick.post.depot.keeping import COMPLETE
 from opalwick.post.depot.records import Fetch, Write
 from opalwick.post.depot.role import Depot
+from opalwick.post.message_state import MessageState
 from opalwick.post.settings import Settings, parse
 from opalwick.post.verdict import Verdict
 from opalwick.post.wire_pb2 import Conf, Hello, Letter, News, Route, Service
@@ -615,7 +615,9 @@
             machine = self.machines[me]
             if machine.role is not None:
                 for mid in machine.role.keeping.ends:
-                    if machine.role.keeping.state(mid).state == COMPLETE and not self.has_end(machine, mid):
+                    if machine.role.keeping.state(mid).state == MessageState.COMPLETE and not self.has_end(
+                        machine, mid
+                    ):
                         raise Broken(
                             "early word", f"{me} tells askers that {mid} is complete, not on its disk"
                         )
--- a/opalwick/post/counter/role.py
+++ b/opalwick/post/counter/role.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 import math
 import os
 from typing import Any
@@ -14,26 +13,25 @@
 
 from opalwick.post.counter.ceilings import Ceilings
 from opalwick.post.counter.desks import Load, rows
-from opalwick.post.counter.front import LATER, fault, field
+from opalwick.post.counter.front import LATER, fault
 from opalwick.post.counter.holding import Holding
 from opalwick.post.counter.intake import Intake
 from opalwick.post.counter.item import Item, Start, Stop
 from opalwick.post.counter.known import known
+from opalwick.post.counter.lookup import Lookups
 from opalwick.post.counter.rounds import PARK, Rounds
-from opalwick.post.depot.keeping import LAPSE, MARGIN, UNKNOWN
+from opalwick.post.depot.keeping import LAPSE, MARGIN
 from opalwick.post.home.guard import Guard
 from opalwick.post.home.policy import named
 from opalwick.post.home.short import Short
-from opalwick.post.names import Asked, Names, RandomOctets, finish, read
+from opalwick.post.names import Names, RandomOctets, finish
 from opalwick.post.settings import Settings
 from opalwick.post.station import Link, Station
 from opalwick.post.verdict import Verdict
-from opalwick.post.wire_pb2 import Ask, Keep, Letter, News, Partner, Pulse, Refuse, Route, Told
+from opalwick.post.wire_pb2 import Keep, Letter, News, Partner, Pulse, Refuse, Route
 from opalwick.protocol.conversation import Call
 from opalwick.protocol.http import Message
 
-ASK = 0.35  # s for one depot's answer to an ask-back: askers wait two seconds
-ASKS = 256  # ask-backs at once
 HEAVY = 0.25  # share of the memory that messages held here may take; over it they wait at depots
 AFTER = 2.3  # s from SIGTERM until connections end: the platform looks each second and needs two misses
 CLOSE = 0.2  # s more until what is held goes back: what has just come is kept by then
@@ -53,21 +51,6 @@
     return finish(letter.mid, letter.holders, letter.host.decode("latin-1"))
 
 
-class AskBack:
-    """A client asks for a message's state or octets: its depots in turn, then the others."""
-
-    __slots__ = ("asked", "body", "call", "left", "name", "pending", "sure", "until")
-
-    def __init__(self, call: Call, name: str, asked: Asked, body: bool, left: list[str], sure: bool) -> None:
-        """`name`: as the client wrote it; `left`: depots that are to be asked; `sure`: all that may have it
-        are among them and have said so far that they do not.
-        """
-        self.call, self.name, self.asked = call, name, asked
-        self.body, self.left, self.sure = body, left, sure
-        self.pending: Told | None = None
-        self.until = 0.0
-
-
 class Counter(Station):
     role = "counter"
 
@@ -99,7 +82,7 @@
         self.mine: set[str] = set()  # the depots that it knows and watches
         self.called: dict[str, float] = {}  # others that it is linked to for a while: last used
         self.unsaid: dict[str, list[tuple[float, str, Any]]] = {}
-        self.asks: dict[int, AskBack] = {}
+        self.lookups = Lookups(self)
         self.orders: list[Start | Stop] = []
         self.serial = self.heavy = 0
         self.confirmed = self.leaving = self.closing = False
@@ -255,7 +238,7 @@
                 self.trace(157, message=word.mid, by=node, holders=",".join(word.holders))
                 self.rounds.moved(word.mid, tuple(word.holders))
             case "told":
-                self.told_back(word)
+                self.lookups.told(word)
             case "leased":
                 self.ceilings.leased(node, word)
             case "permit":
@@ -406,87 +389,8 @@
         return self.guard.met(order.item.letter, order.place, name)
 
     def asked_back(self, call: Call, name: str, body: bool) -> None:
-        self.counts["asked_back"] += 1
-        if len(self.asks) >= ASKS:
-            self.not_shown(call, name, body, 503, "too many questions under way")
-            return
-        asked = read(name, field(call.message, b"host").decode("latin-1"))
-        if asked is None:
-            self.not_shown(call, name, body, 404, "no such message")
-            return
-        depots = self.nodes("depot")
-        hinted = {depot.node for depot in depots if asked.hinted(depot.node)}
-        sure = asked.all_among(depot.node for depot in depots)
-        # of those that have it the near one first: a body that crosses zones is dear
-        depots.sort(
-            key=lambda depot: (
-                depot.node not in hinted,
-                depot.node not in self.links,
-                depot.zone != self.zone,
-                depot.node,
-            )
-        )
-        self.ask_next(AskBack(call, name, asked, body, [depot.node for depot in depots], sure))
-
-    def ask_next(self, ask: AskBack) -> None:
-        if ask.left:
-            node = ask.left.pop(0)
-            self.serial += 1
-            ask.until = self.now + ASK
-            self.asks[self.serial] = ask
-            word = Ask(call=self.serial, mid=ask.asked.mid, body=ask.body, tags=ask.asked.tags)
-            self.call_on(node, "ask", word)
-        elif ask.pending is not None:
-            self.tell_back(ask, ask.pending)
-        elif ask.sure:
-            self.not_shown(ask.call, ask.name, ask.body, 404, "no such message")
-        else:
-            self.not_shown(ask.call, ask.name, ask.body, 503, "the depots that may have it do not answer")
-
-    def told_back(self, word: Told) -> None:
-        ask = self.asks.pop(word.call, None)
-        if ask is None:
-            return
-        if word.state not in (1, 2, 3):
-            ask.sure = ask.sure and word.state == UNKNOWN
-        elif word.state == 1 and ask.pending is None and ask.asked.copies > 1 and not ask.body:
-            ask.pending = word  # the other may know that it has ended
-        else:
-            self.tell_back(ask, word)
-            return
-        self.ask_next(ask)
-
-    def tell_back(self, ask: AskBack, told: Told) -> None:
-        if ask.body:
-            if told.abroad or (told.home and not self.guard.tells(told.home, self.guard.here)):
-                fault(ask.call, 421, "its bytes are shown at its home alone", LATER)
-                return
-            if told.state == 2:
-                self.not_shown(ask.call, ask.name, True, 404, "it is complete: its bytes are not kept")
-                return
-            self.shown(ask, "bytes")
-            ask.call.answer(200, told.body, "Content-Type: application/octet-stream")
-            return
-        said = {"state": {1: "pending", 2: "complete", 3: "dlq"}[told.state]}
-        if told.state == 2:
-            said["seal"] = told.seal
-        self.shown(ask, said["state"])
-        ask.call.answer(200, json.dumps(said).encode(), "Content-Type: application/json")
-
-    def shown(self, ask: AskBack, what: str) -> None:
-        """A question is answered with 200."""
-        self.counts["asked_found"] += 1
-        self.trace_question(ask.call, ask.name, ask.body, 200, what)
-
-    def not_shown(self, call: Call, name: str, body: bool, status: int, why: str) -> None:
-        """404: there is no such message, for sure. 503: that is not known here."""
-        self.counts["asked_unknown" if status == 404 else "asked_unsure"] += 1
-        self.trace_question(call, name, body, status, why)
-        fault(call, status, why, *([LATER] if status == 503 else []))
-
-    def trace_question(self, call: Call, name: str, body: bool, status: int, answer: str) -> None:
-        host = field(call.message, b"host").decode("latin-1")
-        self.trace(159, name=name, host=host, body=body, status=status, answer=answer)
+        """A client asks for a message's state, or with `body` for its bytes."""
+        self.lookups.begin(call, name, body)
 
     # ---- effects
 
@@ -609,10 +513,7 @@
     def tick(self) -> None:
         self.intake.tick()
         self.ceilings.tick(self.now)
-        for call in [call for call, ask in self.asks.items() if ask.until <= self.now]:
-            ask = self.asks.pop(call)
-            ask.sure = False
-            self.ask_next(ask)
+        self.lookups.tick()
         if self.now >= self.sweep_at:
             self.sweep_at = self.now + SWEEP
             self.rounds.forget()
--- a/opalwick/post/depot/keeping.py
+++ b/opalwick/post/depot/keeping.py
@@ -21,6 +21,7 @@
 from opalwick.post.depot.records import Entry, Fetch, KnownEnd, Send, Write
 from opalwick.post.depot.seal import Seal
 from opalwick.post.home.policy import Policy
+from opalwick.post.message_state import MessageState
 from opalwick.post.names import owner
 from opalwick.post.wire_pb2 import (
     Assign,
@@ -54,8 +55,6 @@
 AGAIN = 0.6  # s until an assignment that was not acknowledged is said again, to the same counter
 STEP = 200  # messages assigned in one step, so that others get their turn
 
-UNKNOWN, PENDING, COMPLETE, DEAD, UNSURE = range(5)
-
 
 class Counter:
     """A counter as this depot sees it."""
@@ -516,10 +515,10 @@
     def state(self, mid: str) -> Told:
         if mid in self.ends and mid not in self.unsynced:
             end = self.ends[mid]
-            return Told(state=COMPLETE if end.complete else DEAD, seal=end.seal)
+            return Told(state=MessageState.COMPLETE if end.complete else MessageState.DEAD, seal=end.seal)
         if mid in self.entries or mid in self.unsynced:
-            return Told(state=PENDING)
-        return Told(state=UNKNOWN if self.settled else UNSURE)
+            return Told(state=MessageState.PENDING)
+        return Told(state=MessageState.UNKNOWN if self.settled else MessageState.UNSURE)
 
     def holders_of(self, mid: str) -> tuple[str, ...]:
         """Who keeps it, or kept it when it ended; none where it is not known."""
--- a/opalwick/post/depot/role.py
+++ b/opalwick/post/depot/role.py
@@ -9,10 +9,11 @@
 import math
 from typing import Any
 
-from opalwick.post.depot.keeping import COMPLETE, DEAD, PENDING, UNSURE, Keeping
+from opalwick.post.depot.keeping import Keeping
 from opalwick.post.depot.records import Fetch, Write
 from opalwick.post.files import ROTTEN
 from opalwick.post.home.guard import Guard
+from opalwick.post.message_state import FOUND, WITH_BODY, MessageState
 from opalwick.post.names import is_name_of
 from opalwick.post.settings import Settings
 from opalwick.post.station import Link, Station
@@ -178,11 +179,11 @@
 
     def answer(self, link: Link, word: Any) -> None:
         told = self.keeping.state(word.mid)
-        if word.tags and told.state in (PENDING, COMPLETE, DEAD):
+        if word.tags and told.state in FOUND:
             if not is_name_of(word.tags, self.keeping.holders_of(word.mid)):
-                told = Told(state=UNSURE)  # another name, or others keep it by now
+                told = Told(state=MessageState.UNSURE)  # another name, or others keep it by now
         told.call = word.call
-        if word.body and told.state in (PENDING, DEAD):
+        if word.body and told.state in WITH_BODY:
             self.queue.append(Fetch(word.mid, ("told", link, word.call)))
         else:
             link.say("told", told)
@@ -235,8 +236,8 @@
                     told.body = letter.body
                 else:
                     told.abroad = True
-            elif told.state in (PENDING, DEAD):
-                told.state = UNSURE
+            elif told.state in WITH_BODY:
+                told.state = MessageState.UNSURE
             link.say("told", told)
 
     # ---- time
--- a/tests/test_lab_post_mutants.py
+++ b/tests/test_lab_post_mutants.py
@@ -12,14 +12,16 @@
 from opalwick.lab.post.run import run
 from opalwick.post import names
 from opalwick.post.counter.ceilings import Ceilings, Held
+from opalwick.post.counter.lookup import Lookups
 from opalwick.post.counter.role import Counter
 from opalwick.post.counter.rounds import Rounds
 from opalwick.post.depot import keeping
-from opalwick.post.depot.keeping import COMPLETE, DEAD, PENDING, UNKNOWN, Keeping
+from opalwick.post.depot.keeping import Keeping
 from opalwick.post.depot.moving import Moving
 from opalwick.post.depot.records import Send, Write
 from opalwick.post.depot.role import Depot
 from opalwick.post.directory import Directory
+from opalwick.post.message_state import FOUND, MessageState
 from opalwick.post.office import numbers
 from opalwick.post.office.notices import Notices
 from opalwick.post.office.registry import Registry
@@ -222,7 +224,7 @@
     def answer(self: Depot, link: Any, word: Any) -> None:
         told: Told = self.keeping.state(word.mid)
         told.call = word.call
-        if word.body and told.state == keeping.PENDING:
+        if word.body and told.state == MessageState.PENDING:
             self.queue.append(keeping.Fetch(word.mid, ("told", link, word.call)))
         else:
             link.say("told", told)
@@ -315,16 +317,16 @@
     patch.setattr(Keeping, "state", by_number)
 
 
-@mutant("asks = 1.0\n" + fault("wipe", 1.0, of=["depot-0"], size=0.3), "LOST")
+@mutant("asks = 1.0\nrate = 40.0\n" + fault("wipe", 1.5, of=["depot-0"], size=0.3), "LOST")
 def a_name_is_denied_by_the_first_store_that_does_not_know_it(patch: pytest.MonkeyPatch) -> None:
-    told_back = Counter.told_back
+    told = Lookups.told
 
-    def deny(counter: Counter, word: Told) -> None:
-        if (ask := counter.asks.get(word.call)) is not None and word.state not in (PENDING, COMPLETE, DEAD):
-            ask.left, ask.sure, word.state = [], True, UNKNOWN
-        told_back(counter, word)
+    def deny(lookups: Lookups, word: Told) -> None:
+        if (lookup := lookups.under_way.get(word.call)) is not None and word.state not in FOUND:
+            lookup.left, lookup.sure, word.state = [], True, MessageState.UNKNOWN
+        told(lookups, word)
 
-    patch.setattr(Counter, "told_back", deny)
+    patch.setattr(Lookups, "told", deny)
 
 
 @pytest.mark.parametrize("name", sorted(MUTANTS))
--- a/tests/test_post_home.py
+++ b/tests/test_post_home.py
@@ -17,7 +17,8 @@
 
 from opalwick.post.counter.delivery import Delivery, Meeting
 from opalwick.post.counter.item import Item, Start
-from opalwick.post.counter.role import AskBack, Counter
+from opalwick.post.counter.lookup import Lookup
+from opalwick.post.counter.role import Counter
 from opalwick.post.depot.disk import Disk
 from opalwick.post.depot.role import Depot
 from opalwick.post.directory import Directory
@@ -281,7 +282,7 @@
         (process(Counter, "b"), Told(state=1, body=b"x", home="jo")),
         (process(Counter), Told(state=1, abroad=True)),
     ):
-        counter.tell_back(AskBack(call, "m", Asked("m", ()), True, [], True), told)
+        counter.lookups.show(Lookup(call, "m", Asked("m", ()), True, [], True), told)
     assert answers == [200, 421, 421]
 
 
