--- a/opalwick/lab/post/sockets/callers.py
+++ b/opalwick/lab/post/sockets/callers.py
@@ -38,6 +38,13 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + message.body
 
 
+def readable(sock: Any) -> bool:
+    """Whether something has come, or the other side's end; `select` takes no descriptors beyond 1,023."""
+    looked = select.poll()
+    looked.register(sock, select.POLLIN)
+    return bool(looked.poll(0))
+
+
 class SocketKept(KeptConnection):
     """A real one: `sock` once it is made."""
 
@@ -48,7 +55,7 @@
     @property
     def open(self) -> bool:
         """Whether a request may be sent on it: not closed by the other side, and nothing unasked has come."""
-        return self.sock is not None and not select.select([self.sock], [], [], 0)[0]
+        return self.sock is not None and not readable(self.sock)
 
     def close(self) -> None:
         if self.sock is not None:
