--- a/tests/test_post_intake.py
+++ b/tests/test_post_intake.py
@@ -66,7 +66,7 @@
     def settle(self) -> None:
         sends, told, accepted = self.i.effects()
         self.sent(sends)
-        for call, status, name in told:
+        for call, status, name, _ in told:
             self.told.append(status)
             self.note(f"{status} {name}".strip() + f" to {call}")
         for letter, touched in accepted:
