--- a/opalwick/lab/post/clients.py
+++ b/opalwick/lab/post/clients.py
@@ -300,7 +300,6 @@
 
     def accepted(self, rid: str, name: str, want: Want) -> None:
         self.names[rid] = name
-        self.world.strangers.given(name)
         if self.draw.random() < self.world.day.asks:
             when = self.draw.expovariate(1.0 / 1.5) if self.draw.random() < 0.7 else 0.0
             self.world.agenda.after(when, self.ask, rid, self.draw.random() < 0.4, 1)
--- a/opalwick/lab/post/faults.py
+++ b/opalwick/lab/post/faults.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections.abc import Callable
 from typing import Any, cast
@@ -269,17 +270,11 @@
 def hup(scene: Scene, fault: Fault, draw: random.Random) -> Steps:
     """Again and again while it lasts. Planned work: nothing counts as lost by it."""
     hit = scene.machines(fault, draw)
+    if not hit:  # those that it names have been taken away
+        return
     number = scene.world.trouble(fault.kind, True, [machine.node for machine in hit], [])
-    over = [False]
-
-    def turn(at: int) -> None:
-        if not over[0] and hit:
-            hit[at % len(hit)].hup()
-            scene.agenda.after(max(0.01, _size(fault)), turn, at + 1)
-
-    turn(0)
-    yield
-    over[0] = True
+    turns = itertools.cycle(hit)
+    yield from _each(scene, fault, lambda: next(turns).hup(), least=0.01)
     scene.world.well(number)
 
 
@@ -588,14 +583,15 @@
     scene.world.clients.poisoned -= _size(fault)
 
 
-def _each(scene: Scene, fault: Fault, *calls: Callable[[], None]) -> Steps:
+def _each(scene: Scene, fault: Fault, *calls: Callable[[], None], least: float = 0.1) -> Steps:
+    """The calls, each SIZE seconds, but no sooner than `least` after those before, while the fault lasts."""
     on = [True]
 
     def turn() -> None:
         if on[0]:
             for call in calls:
                 call()
-            scene.agenda.after(max(0.1, _size(fault)), turn)
+            scene.agenda.after(max(least, _size(fault)), turn)
 
     turn()
     yield
--- a/opalwick/lab/post/home_faults.py
+++ b/opalwick/lab/post/home_faults.py
@@ -75,8 +75,7 @@
             machine.proc.event(machine.proc.role.resettle, replace(settings, region=region, zones=zones))
     yield
     for machine in hit:
-        if machine.proc is not None:
-            machine.proc.event(machine.proc.role.resettle, machine.settings())
+        machine.hup()
     well()
 
 
--- a/opalwick/lab/post/strangers.py
+++ b/opalwick/lab/post/strangers.py
@@ -96,10 +96,6 @@
 class Strangers:
     def __init__(self, world: World) -> None:
         self.world, self.draw, self.number = world, world.draws.of("strangers"), 0
-        self.names: dict[str, None] = {}  # all that were given out
-
-    def given(self, name: str) -> None:
-        self.names[name] = None
 
     def begin(self) -> None:
         if self.world.day.strangers > 0:
@@ -107,12 +103,13 @@
 
     def come(self) -> None:
         self.begin()
-        if len(self.names) < 2:
+        names = list(self.world.clients.names.values())
+        if len(names) < 2:
             return
-        name, other = self.draw.sample(list(self.names)[-RECENT:], 2)
+        name, other = self.draw.sample(names[-RECENT:], 2)
         kind = self.draw.choice(KINDS)
         wrong = kind(self.draw, name, other)
-        if wrong.host != HOST or wrong.name not in self.names:
+        if wrong.host != HOST or wrong.name not in names:
             self.ask(kind.__name__, wrong)
 
     def ask(self, kind: str, wrong: Wrong) -> None:
--- a/opalwick/lab/verify/depots.py
+++ b/opalwick/lab/verify/depots.py
@@ -615,9 +615,8 @@
             machine = self.machines[me]
             if machine.role is not None:
                 for mid in machine.role.keeping.ends:
-                    if machine.role.keeping.state(mid).state == MessageState.COMPLETE and not self.has_end(
-                        machine, mid
-                    ):
+                    state = machine.role.keeping.state(mid).state
+                    if state == MessageState.COMPLETE and not self.has_end(machine, mid):
                         raise Broken(
                             "early word", f"{me} tells askers that {mid} is complete, not on its disk"
                         )
--- a/tests/post_cluster.py
+++ b/tests/post_cluster.py
@@ -24,6 +24,8 @@
     name="r", host="h", stem="/", svc="s", deferred=True, retain=90.0, tries=3, limit=0.6, start=0.6
 )
 CONF = Conf(gen=1, body_bytes=99, routes=[ROUTE], services=[Service(name="s", max_conns=50)])
+# a link to one that brings news and hears nothing
+OFFICE = SimpleNamespace(peer=SimpleNamespace(role="office", node="o1"), say=lambda kind, word: None)
 WORKER = Worker(id="w1", svc="s", host="10.9.0.1", port=80, zone="a", capacity=20)
 
 
@@ -86,8 +88,7 @@
 
     def start_counter(self, node: str, number: int) -> None:
         counter = Counter(settings(node, "counter", number), int(self.now), self.now, 512)
-        office = SimpleNamespace(peer=SimpleNamespace(role="office", node="o1"), say=lambda kind, word: None)
-        counter.heard(office, "news", News(conf=CONF, workers=[WORKER], whole=True))
+        counter.heard(OFFICE, "news", News(conf=CONF, workers=[WORKER], whole=True))
         counter.confirmed = True
         self.join(node, counter)
 
@@ -97,10 +98,9 @@
         news = News(
             nodes=[Node(node=d.node, role="depot", zone=d.zone, ip=d.ip, life=d.life) for d in depots]
         )
-        office = SimpleNamespace(peer=SimpleNamespace(role="office", node="o1"), say=lambda kind, word: None)
         for role in self.roles.values():
             if role.role == "counter":
-                role.heard(office, "news", news)
+                role.heard(OFFICE, "news", news)
 
     def join(self, node: str, role: Any) -> None:
         role.clock(self.now)
--- a/tests/test_lab_post_home.py
+++ b/tests/test_lab_post_home.py
@@ -260,9 +260,8 @@
     plant, faults, door = MUTANTS[name]
     plant(monkeypatch)
     found = day(faults, delayed=0.4, depots=8 if door == "move" else 6)
-    seed = (
-        8 if door == "move" else 1
-    )  # by hashes of names few copies move: one with a wrong choice among them
+    # by hashes of names few copies move: in this history one with a wrong choice is among them
+    seed = 8 if door == "move" else 1
     world, report = played(found, seed)
     assert guarded(world)[door] > 0 and not any(report["abroad"].values()), (guarded(world), report)
     monkeypatch.setattr(Guard, "passes", lambda self, door, home, country: True)
