--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,8 +1,4 @@
-"""A store loses its disk and returns; long after its `sync_s` another store loses its disk.
-
-TROUBLE=1: both losses, one after the other; 0: none. For comparison: first (the first loss only), second (the
-second only).
-"""
+"""Two stores lose their disks, the second long after the first is back; what both kept is lost."""
 
 from __future__ import annotations
 
@@ -11,33 +7,32 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-from rig import lost
-from rig.deployment import Deployment
-
-MESSAGES, BODY, RATE, DELAY_MS = 1700, 30_000, 150.0, 60_000
 
+from rig.deployment import Deployment
+from rig.lost import CALM_S, TROUBLE, begin, judge, main, take
 
-def lose(d: Deployment, name: str) -> None:
-    """The machine loses its disk and is back 2 s later, at its address."""
-    machine = d.machines[name]
-    machine.kill()
-    machine.lose_disk()
-    time.sleep(2.0)
-    machine.start()
+SIZE = 30_000  # bytes: the largest gate passage of the site
+COUNT, RATE = 2_000, 150.0  # messages, and how many of them a second
+DELAY_MS = 60_000  # before which none of them may run; at the site up to 90,000
+WIPED_S = 2.0  # as the site's after_ack_wipe of a store
+STORES = {"disk-east-1": "east", "disk-west-1": "west", "disk-north-1": "north"}
+LOSSES = ["disk-east-1", "disk-west-1"]
 
 
 def play(d: Deployment) -> int:
-    workers = lost.begin(d, {f"disk-{zone}-1": zone for zone in lost.ZONES})
-    accepted = lost.take(d, MESSAGES, BODY, RATE, DELAY_MS, ["edge-east-1"])
-    time.sleep(6.0)  # longer than contact_ms and sync_s
-    if lost.TROUBLE in ("1", "first"):
-        lose(d, "disk-east-1")
-        time.sleep(lost.CALM_S)  # over twice sync_s
-    if lost.TROUBLE in ("1", "second"):
-        lose(d, "disk-west-1")
-        time.sleep(lost.CALM_S)
-    return lost.judge(d, accepted, workers, DELAY_MS)
+    workers = begin(d, STORES)
+    accepted = take(d, COUNT, SIZE, RATE, DELAY_MS, ["edge-east-1", "edge-west-1"])
+    time.sleep(2.0)
+    for name in LOSSES:
+        if TROUBLE != "0":
+            machine = d.machines[name]
+            machine.kill()
+            machine.lose_disk()
+            time.sleep(WIPED_S)
+            machine.start()
+        time.sleep(CALM_S)
+    return judge(d, accepted, workers, DELAY_MS)
 
 
 if __name__ == "__main__":
-    lost.main(Path(sys.argv[1]), play)
+    main(Path(sys.argv[1]), play)
