--- a/review/1/restart.py
+++ b/review/earlier/restart/case.py
@@ -6,7 +6,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
 from rig.deployment import Deployment
 from rig.lost import RETAIN_S, TROUBLE, begin, main, take
