Stores: bulk has a window of unconfirmed bytes

Cause: all messages that a store lacked were read and queued on its link at once; over 16 MiB the link is closed before anything is sent, made again, and closed again. Evidence: the store that was back had 493 messages, all from the peer that sent 14.9 MB; the other peer had queued 50.4 MB by its figures, of which nothing arrived.

Change: copies between stores go through a queue of ids with a window of 1 MiB that the receiver has not confirmed from its disk; assignments have one of 4 MiB for each gateway, and bodies are not sent on a link that has 4 MiB queued. Why it works in any order: the queue is rebuilt by the comparison on each new link, from what is lacking then, and what is on a link never depends on how much that is.

--- a/opalwick/lab/post/net.py
+++ b/opalwick/lab/post/net.py
@@ -115,6 +115,7 @@
         "over",
         "peer",
         "proc",
+        "queued_bytes",
         "role",
         "unread",
         "waiting",
@@ -126,7 +127,7 @@
         self.other: End = self
         self.over = self.accepted = False
         self.last_received = proc.now()
-        self.waiting = self.unread = 0
+        self.waiting = self.unread = self.queued_bytes = 0
         self.batch: list[tuple[str, bytes]] = []
         self.batch_at = self.last_at = -1.0
         self.held: deque[list[tuple[str, bytes]] | None] = (
--- a/opalwick/lab/verify/depots.py
+++ b/opalwick/lab/verify/depots.py
@@ -78,6 +78,8 @@
 class LinkStub:
     """A role's link: collects the messages sent on it."""
 
+    queued_bytes = 0
+
     def __init__(
         self, peer: Hello, number: int, out: list[tuple[str, int, EncodedMessage]], now: float
     ) -> None:
--- a/opalwick/lab/verify/leases.py
+++ b/opalwick/lab/verify/leases.py
@@ -49,6 +49,8 @@
 
 
 class LinkStub:
+    queued_bytes = 0
+
     def __init__(self, peer: Hello) -> None:
         self.peer, self.last_received = peer, 0.0
         self.out: list[EncodedMessage] = []
--- a/opalwick/lab/verify/notices.py
+++ b/opalwick/lab/verify/notices.py
@@ -40,6 +40,8 @@
 class LinkStub:
     """A controller's link: messages sent on it are queued in the model."""
 
+    queued_bytes = 0
+
     def __init__(self, model: NoticeModel, sender: str, peer: Hello) -> None:
         self.model, self.sender, self.peer, self.last_received = model, sender, peer, 0.0
 
--- a/opalwick/lab/verify/offices.py
+++ b/opalwick/lab/verify/offices.py
@@ -84,6 +84,8 @@
 class LinkStub:
     """A controller's link: collects the messages sent on it."""
 
+    queued_bytes = 0
+
     def __init__(self, controller: ControllerUnderTest, peer: Hello) -> None:
         self.controller, self.peer, self.last_received = controller, peer, 0.0
 
--- a/opalwick/post/base_role.py
+++ b/opalwick/post/base_role.py
@@ -22,6 +22,7 @@
 
     peer: Hello
     last_received: float
+    queued_bytes: int  # not taken by the network yet
 
     def send(self, kind: str, message: Any) -> None:
         """Queues a message of that kind; never blocks."""
--- a/opalwick/post/link.py
+++ b/opalwick/post/link.py
@@ -52,7 +52,8 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(SILENT * 1000))
         self.sock, self.shell, self.role = sock, shell, shell.role
         self.peer = Hello()
-        self.closed, self.queued_bytes, self.unsettled = False, 0, 0
+        self.closed, self.unsettled = False, 0
+        self.queued_bytes = 0
         self.output: list[bytes] = []
         self.has_output = Event()
         self.last_received = time.monotonic()
--- a/opalwick/post/store/message_store.py
+++ b/opalwick/post/store/message_store.py
@@ -62,16 +62,33 @@
 REFUSED = 0.2  # s until a message that a gateway rejected is assigned again, give or take half
 ASSIGN_RETRY = 0.6  # s until an unacknowledged assignment is sent again, to the same gateway
 ASSIGN_BATCH = 200  # messages assigned in one tick, so that other work gets its turn
+# bytes assigned to one gateway that it has not acknowledged: half a second of a 100 Mbit/s link
+ASSIGN_WINDOW = 4 << 20
 
 
 class Gateway:
     """A gateway ("counter" on the wire) as this store sees it."""
 
-    __slots__ = ("assigned", "incarnation", "last_seen", "leaving", "linked", "node", "ready", "zone")
+    __slots__ = (
+        "assigned",
+        "incarnation",
+        "last_seen",
+        "leaving",
+        "linked",
+        "node",
+        "ready",
+        "unacknowledged_bytes",
+        "zone",
+    )
 
     def __init__(self, node: str, incarnation: int, zone: str, now: float) -> None:
         self.node, self.incarnation, self.zone, self.last_seen = node, incarnation, zone, now
         self.linked, self.ready, self.leaving, self.assigned = True, False, False, 0
+        self.unacknowledged_bytes = 0  # of messages assigned to it
+
+    def has_room(self, size: int) -> bool:
+        """Whether that many bytes more may be assigned to it; one message may always be."""
+        return not self.unacknowledged_bytes or self.unacknowledged_bytes + size <= ASSIGN_WINDOW
 
 
 def ignore_event(number: int, **fields: Any) -> None:
@@ -205,6 +222,7 @@
     def remove(self, mid: str) -> Entry | None:
         """Removes a pending message that has ended or is no longer stored here."""
         if (entry := self.entries.pop(mid, None)) is not None:
+            self.clear_assignment(entry)
             self.entry_holders.remove(mid, entry.replicas)
             self.comparison.forget(mid)
         return entry
@@ -235,7 +253,7 @@
 
     def set_owner(self, entry: Entry, process: str, why: str = "") -> None:
         """Sets the owner; empty: none. `why`: the reason for having none, for traces."""
-        entry.assigned_at = 0.0
+        self.clear_assignment(entry)
         if entry.owner == process:
             return
         if entry.owner:
@@ -247,6 +265,14 @@
             entry.release_reason = why
             heapq.heappush(self.waiting, (entry.due, entry.mid))
 
+    def clear_assignment(self, entry: Entry) -> None:
+        """The message's assignment is acknowledged, or no longer in force."""
+        if not entry.assigned_at:
+            return
+        entry.assigned_at = 0.0
+        if (gateway := self.gateways.get(entry.owner.rpartition("/")[0])) is not None:
+            gateway.unacknowledged_bytes = max(0, gateway.unacknowledged_bytes - entry.size)
+
     # ---- gateways
 
     def counter_up(self, node: str, incarnation: int, zone: str) -> None:
@@ -317,7 +343,8 @@
         self.figures["lapsed"] += len(mids)
         for mid in sorted(mids):
             entry = self.entries[mid]
-            entry.owner, entry.assigned_at = "", 0.0
+            self.clear_assignment(entry)
+            entry.owner = ""
             entry.release_reason = "silent" if silent else "restarted"
             self.reconciliation.suspect(mid)
             heapq.heappush(self.waiting, (entry.due, mid))
@@ -908,6 +935,10 @@
                     break
                 later.append((self.now + 0.25, mid))
                 continue
+            if not (eligible := [c for c in eligible if c.has_room(entry.size)]):
+                later.append((due, mid))  # until some of what they were assigned is acknowledged
+                remaining -= 1
+                continue
             remaining -= 1
             chosen = min(eligible, key=lambda c: c.assigned)
             chosen.assigned += 1
@@ -919,6 +950,8 @@
 
     def send_assignment(self, entry: Entry) -> None:
         """Sends an assignment to its owner and waits for the acknowledgement."""
+        if not entry.assigned_at:
+            self.gateways[entry.owner.rpartition("/")[0]].unacknowledged_bytes += entry.size
         entry.assigned_at = self.now
         heapq.heappush(self.unacknowledged, (self.now + ASSIGN_RETRY, entry.mid))
         self.fetches.append(Fetch(entry.mid, ("assign", entry.owner, entry.claim)))
--- a/opalwick/post/store/role.py
+++ b/opalwick/post/store/role.py
@@ -23,6 +23,8 @@
 
 # share of the disk that messages may take: sqlite's pages, its log and freed space take as much again
 ROOM = 0.4
+# bytes queued on a link from which no further bodies are sent on it: a quarter of what closes it
+BODY_WINDOW = 4 << 20
 MIN_REPORTED_DELAY = (
     0.02  # s of a batch in progress from which heartbeats report it: a usual one takes a tenth of it
 )
@@ -257,7 +259,9 @@
             # the present state: it may have ended since, and its bytes may be gone with the same batch
             answer = self.store.state(fetch.mid)
             answer.call = call
-            if message is not None:
+            if message is not None and link.queued_bytes > BODY_WINDOW:
+                answer.state = MessageState.UNSURE  # it is asked for again
+            elif message is not None:
                 answer.home = self.guard.home(message)
                 if self.guard.permits_body(answer.home, self.guard.node(link.peer) if answer.home else ""):
                     answer.body = message.body
--- a/opalwick/post/store/transfers.py
+++ b/opalwick/post/store/transfers.py
@@ -1,4 +1,9 @@
-"""Copies of messages to other stores: what is queued and what is unconfirmed. No I/O."""
+"""Copies of messages to other stores: a queue and a window of unconfirmed bytes for each. No I/O.
+
+What is to be copied may exceed by far what a link can hold. A message's bytes are read from the disk only
+when the window has room for them, and leave the window once the other store has confirmed them on its disk,
+so heartbeats and assignments on the same link are never delayed by more than one window.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +11,7 @@
 
 from opalwick.post.store.state import StoreState
 
+WINDOW = 1 << 20  # bytes unconfirmed by one store: a tenth of a second of a 100 Mbit/s link
 CONFIRM_TIMEOUT = 5.0  # s until an unconfirmed copy leaves the window; the next comparison finds it again
 
 
@@ -72,10 +78,12 @@
             target.unconfirmed -= copy.size
 
     def fill(self, target: Target) -> None:
-        """Starts queued copies."""
+        """Starts queued copies as long as the window has room; one at least, whatever its size."""
         while target.queue:
             mid = next(iter(target.queue))
             size = self.store.size_of(mid)
+            if target.in_flight and target.unconfirmed + size > WINDOW:
+                return
             why = target.queue.pop(mid)
             target.in_flight[mid] = InFlight(size, self.store.now)
             target.unconfirmed += size
--- a/tests/post_cluster.py
+++ b/tests/post_cluster.py
@@ -55,6 +55,8 @@
 class End:
     """The end of a link at one process."""
 
+    queued_bytes = 0
+
     def __init__(self, cluster: Cluster, near: str, far: str) -> None:
         self.cluster, self.near, self.far = cluster, near, far
         self.peer, self.last_received = cluster.roles[far].hello(), 0.0
--- a/tests/test_post_home.py
+++ b/tests/test_post_home.py
@@ -251,6 +251,8 @@
 
 
 class Link:
+    queued_bytes = 0
+
     def __init__(self, **peer: Any) -> None:
         self.peer, self.said, self.last_received = Hello(**peer), list[tuple[str, Any]](), 0.0
 
--- a/tests/test_post_known.py
+++ b/tests/test_post_known.py
@@ -35,6 +35,8 @@
 class Spy:
     """A link that records the messages sent on it."""
 
+    queued_bytes = 0
+
     def __init__(self, role: str, node: str, zone: str = "a") -> None:
         self.peer, self.last_received = Hello(node=node, role=role, zone=zone, ip="10.0.2.7", life=1), 0.0
         self.said: list[tuple[str, Any]] = []
--- a/tests/test_post_replication.py
+++ b/tests/test_post_replication.py
@@ -4,11 +4,17 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import pytest
 from post_stores import COPIES, SYNC_S, StoreCluster
+from test_post_roles import SETTINGS
 
-from opalwick.post.store.message_store import MessageStore
-from opalwick.post.wire_pb2 import Differ, Have, Holders
+from opalwick.post.message_state import MessageState
+from opalwick.post.settings import parse
+from opalwick.post.store.message_store import ASSIGN_WINDOW, MessageStore
+from opalwick.post.store.role import BODY_WINDOW, StoreRole
+from opalwick.post.wire_pb2 import Ask, Differ, Have, Hello, Holders, Keep, Letter, Mine, Pulse, Told
 
 # ---- the placement has a version
 
@@ -84,6 +90,68 @@
     assert d.copies("m") == ["d2", "d3"]
 
 
+# ---- bulk has a window
+
+
+def test_a_store_gets_all_its_replicas_back_however_many_bytes_they_have() -> None:
+    """All were queued on the link at once, which was closed as it held more than it may, again and again."""
+    d = StoreCluster()
+    mids = d.keep_many(1_500, 60_000)
+    d.restart("d1", lose_disk=True)
+    d.until(d.now + SYNC_S)
+    assert {mid: len(d.copies(mid)) for mid in mids} == dict.fromkeys(mids, COPIES)
+    assert d.closed_links == 0
+
+
+def test_transfers_go_on_where_they_stopped_when_a_link_is_made_again() -> None:
+    d = StoreCluster()
+    mids = d.keep_many(600, 100_000)
+    d.restart("d1", lose_disk=True)
+    for _ in range(5):
+        d.until(d.now + 0.2)
+        d.unlink("d1", "d2")
+        d.link("d1", "d2")
+    d.until(d.now + SYNC_S)
+    assert {mid: len(d.copies(mid)) for mid in mids} == dict.fromkeys(mids, COPIES)
+
+
+def test_what_is_assigned_to_a_gateway_has_a_window() -> None:
+    """After a gateway's end 200 large messages were assigned at once, which closed the other gateway's link
+    each time.
+    """
+    store = MessageStore("d1", "a", 0.0, 120.0)
+    store.counter_up("c1", 1, "a")
+    for n in range(80):
+        store.loaded(f"m{n:02}", ("d1",), 0.0, 90.0, 0, 0, 250_000)
+    for now in (3.05, 3.1):
+        store.clock(now)
+        store.counter_pulse("c1", Pulse(ready=True))
+        store.tick()
+    first = [fetch.mid for fetch in store.effects()[2]]
+    assert len(first) == ASSIGN_WINDOW // 250_000
+    store.clock(3.2)
+    store.mine("c1", Mine(mids=first[:4], claims=[1] * 4, ask=True))
+    store.counter_pulse("c1", Pulse(ready=True))
+    store.tick()
+    assert len(store.effects()[2]) == 4
+
+
+def test_a_body_is_not_sent_on_a_link_that_is_full_already() -> None:
+    """The answers to many lookups at once closed the link, and with it all else that was on it."""
+    role = StoreRole(parse(SETTINGS, "here"), 1, 0.0, "disk")
+    sent: list[Told] = []
+    link = SimpleNamespace(queued_bytes=0, peer=Hello(node="c1"), send=lambda kind, told: sent.append(told))
+    letter = Letter(mid="m", body=b"x" * 9, holders=["d1", "d2"], until=90.0)
+    role.store.keep("c1", Keep(letter=letter, parked=True))
+    role.settle()
+    role.batch()
+    for queued, state in ((0, MessageState.PENDING), (BODY_WINDOW + 1, MessageState.UNSURE)):
+        link.queued_bytes = queued
+        role.answer(link, Ask(mid="m", body=True))
+        role.synced([], role.batch()[1], [letter.SerializeToString()])
+        assert sent[-1].state == state and bool(sent[-1].body) == (state == MessageState.PENDING)
+
+
 # ---- repair follows from state
 
 
--- a/tests/test_post_roles.py
+++ b/tests/test_post_roles.py
@@ -28,6 +28,8 @@
 class Spy:
     """A link that records what was sent on it."""
 
+    queued_bytes = 0
+
     def __init__(self, role: str, node: str = "c1") -> None:
         self.peer, self.last_received = Hello(node=node, role=role, zone="a", ip="10.0.0.2", life=1), 0.0
         self.said: list[tuple[str, Any]] = []
