Stores: ends are replicas, and a store with a new disk is a learner

Cause: a copied end was recorded without its stores, so nobody copied it on; an earlier disk was known only to a process that had been linked to it; and a store with an empty disk answered "no such message" as soon as pending messages had been compared.

Change: an end carries its placement, is compared on each link, repaired and moved by it; a store with a new disk, or with rotten rows, says 503 where it knows nothing until every other store that is not lost or emptied has listed what it should have. Why it works in any order: what an end needs is on the disk of each of its stores, and "no such message" rests on lists that are whole.

--- a/opalwick/post/store/comparison.py
+++ b/opalwick/post/store/comparison.py
@@ -5,6 +5,9 @@
 with what differs there (`differ`), once all that it has of it is on its disk. So an answer is also a
 confirmation: what it does not name is on that disk. A replica that the newest placement does not list is
 deleted only after enough of the listed stores have confirmed theirs.
+
+A store with a new disk is a learner: it cannot tell that there is no such message before every other store
+has sent the whole list of what should be here.
 """
 
 from __future__ import annotations
@@ -66,8 +69,9 @@
         store = self.store
         self.awaited.add(node)
         self.compared_at[node] = store.now
-        pending = store.entry_holders.of(node)
+        pending, ended = store.entry_holders.of(node), store.end_holders.of(node)
         parts = deque(Part(pending[at : at + BATCH], []) for at in range(0, len(pending), BATCH))
+        parts.extend(Part([], ended[at : at + BATCH]) for at in range(0, len(ended), BATCH))
         self.parts[node] = parts or deque([Part([], [])])
         self.send_next(node)
 
--- a/opalwick/post/store/message_store.py
+++ b/opalwick/post/store/message_store.py
@@ -496,7 +496,9 @@
             self.stored_bytes -= entry.size
         elif entry is not None:
             self.dead_sizes[mid] = entry.size  # its bytes can still be requested
-        placement = entry.placement if entry is not None else Placement((self.node,))
+        placement = Placement(tuple(msg.holders) or (self.node,), msg.placement)
+        if entry is not None and msg.placement <= entry.placement.version:
+            placement = entry.placement
         self.add_end(mid, KnownEnd(complete, seal, until, placement))
         self.unsynced.add(mid)
         self.figures["ended"] += 1
@@ -679,7 +681,8 @@
             return Told(state=MessageState.COMPLETE if end.complete else MessageState.DEAD, seal=end.seal)
         if mid in self.entries or mid in self.unsynced:
             return Told(state=MessageState.PENDING)
-        return Told(state=MessageState.UNKNOWN if self.settled else MessageState.UNSURE)
+        certain = self.settled and not self.comparison.learner and mid not in self.comparison.missing
+        return Told(state=MessageState.UNKNOWN if certain else MessageState.UNSURE)
 
     def replicas_of(self, mid: str) -> tuple[str, ...]:
         """Stores that have the message, or had it when it ended; empty where it is unknown."""
@@ -716,7 +719,7 @@
         self.disks[node] = disk
         self.rebalancing.up(node, zone, disk_age)
         self.comparison.start(node)
-        if another_disk:  # it has lost all ends
+        if another_disk and not protocol:  # it compares no ends, and has lost all of them
             for mid in self.end_holders.of(node):
                 self.send_end(mid, [node])
 
--- a/tests/test_post_replication.py
+++ b/tests/test_post_replication.py
@@ -4,10 +4,11 @@
 
 from __future__ import annotations
 
+from random import Random
 from types import SimpleNamespace
 
 import pytest
-from post_stores import COPIES, SYNC_S, StoreCluster
+from post_stores import COPIES, DOWN, SYNC_S, StoreCluster
 from test_post_roles import SETTINGS
 
 from opalwick.post.message_state import MessageState
@@ -196,6 +197,97 @@
     assert {mid: len(d.copies(mid)) for mid in mids} == dict.fromkeys(mids, COPIES)
 
 
+# ---- an end is data
+
+
+def test_how_messages_ended_is_known_after_losses_in_turn() -> None:
+    """A copied end was recorded without its stores, so it was never copied on; after three losses no store
+    knew it, and all said that there was no such message.
+    """
+    d = StoreCluster()
+    mids = d.keep_many(120)
+    for mid in mids:
+        d.end(mid)
+    for name in ("d1", "d2", "d1", "d3"):
+        d.restart(name, lose_disk=True)
+        d.until(d.now + SYNC_S)
+        assert {mid: len(d.ends(mid)) for mid in mids} == dict.fromkeys(mids, COPIES)
+    assert all(d.knows(mid) for mid in mids)
+
+
+def test_a_dead_message_keeps_full_replicas_of_its_bytes() -> None:
+    d = StoreCluster("d1 d2 d3 d4")
+    mids = d.keep_many(60, 1_000)
+    for mid in mids:
+        d.end(mid, complete=False)
+    d.restart("d1", lose_disk=True)
+    d.until(d.now + SYNC_S)
+    d.retire("d2")
+    d.until(d.now + SYNC_S)
+    d.remove("d2")
+    for mid in mids:
+        assert len(d.ends(mid)) >= COPIES and len(d.copies(mid)) >= COPIES
+    assert all(not store.entries for store in d.stores.values())
+
+
+def test_a_store_with_a_new_disk_is_unsure_until_all_others_have_listed_what_it_should_have() -> None:
+    """Else it would say that there is no such message, though the only store that knows it is away."""
+    d = StoreCluster()
+    d.keep("m", "d1", "d2")
+    d.end("m")
+    d.kill("d2")
+    d.restart("d1", lose_disk=True, down=0.5)
+    d.until(d.now + 4.0)
+    learner = d.stores["d1"]
+    assert learner.settled and learner.state("m").state == MessageState.UNSURE
+    d.start("d2")
+    d.until(d.now + 2.0)
+    assert learner.state("m").state == MessageState.COMPLETE
+    assert learner.state("other").state == MessageState.UNKNOWN
+    d.restart("d1")
+    d.until(d.now + 0.01)
+    assert not d.stores["d1"].comparison.learner  # which is on its disk
+
+
+# ---- any order of events
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_replicas_are_full_within_sync_s_whatever_has_happened(seed: int) -> None:
+    """Losses of disks one at a time, restarts, links that break, removals and additions, in any order."""
+    draw = Random(seed)
+    d = StoreCluster("d1 d2 d3 d4", seed)
+    mids = d.keep_many(60, 3_000)
+    ended = set[str]()
+    for _ in range(6):
+        for mid in draw.sample(mids, 6):
+            if mid not in ended:
+                ended.add(mid)
+                d.end(mid, draw.random() < 0.7)
+        name = draw.choice(sorted(d.stores))
+        what = draw.choice(("lose", "restart", "add", "retire", "cut"))
+        if what in ("lose", "restart"):
+            d.restart(name, what == "lose", draw.choice((0.3, DOWN, 5.0)))
+        elif what == "add":
+            d.start(f"d{d.starts + 10}")
+        elif what == "retire" and len(d.stores) > 3:
+            other = draw.choice(sorted(set(d.stores) - {name}))
+            d.retire(name)
+            d.until(d.now + draw.choice((0.0, 0.05, 0.2, 1.0)))
+            d.restart(other, draw.random() < 0.5, draw.choice((0.3, DOWN)))
+            d.until(d.now + 6.0)
+            d.remove(name)
+        elif what == "cut":
+            other = draw.choice(sorted(set(d.stores) - {name}))
+            d.unlink(name, other)
+            d.until(d.now + draw.choice((0.2, 3.0)))
+            d.link(name, other)
+        d.until(d.now + SYNC_S)
+        for mid in mids:
+            assert len(d.ends(mid)) >= COPIES if mid in ended else len(d.copies(mid)) == COPIES, (what, mid)
+            assert d.knows(mid)
+
+
 # ---- stores of the version before
 
 
