Lab: the rule REPLICAS, full replicas within sync of the last trouble

Change: twice a second all disks of stores are counted; sync seconds after the last trouble of the core or of a link each message, each end and the bytes of each dead message must be on two disks. With real processes the disks are read after the last process has ended. A link that overflows drops what was queued in the same turn, as link.py does. Four planted faults: copies without a window, ends without their stores, replicas dropped by an older list, only linked stores missed.

--- a/opalwick/lab/post/clients.py
+++ b/opalwick/lab/post/clients.py
@@ -238,6 +238,7 @@
         want.number, want.kind, want.zone, want.svc = self.numbers, kind, zone, svc
         want.host, want.target = "lode17.example", f"{stem}{base36(draw.randrange(1 << 20))}?q={self.numbers}"
         want.body = base36(draw.randrange(1 << 40)).encode() * draw.choice((0, 1, 3, 20))
+        want.body = want.body.ljust(day.body_bytes, b".")
         want.first_at, want.work = self.world.agenda.now, float(service.work)
         if draw.random() < delayed:
             want.delay = round(min(spread(draw, float(day.delay), 0.7), 20.0), 3)
--- a/opalwick/lab/post/day.py
+++ b/opalwick/lab/post/day.py
@@ -144,6 +144,7 @@
     most: int = 0  # maximum of messages; 0: none
     delayed: float = 0.15  # share of messages with a delay
     delay: Seconds = Seconds(2.0)  # mean delay
+    body_bytes: int = 0  # least size of a message's body
     poison: float = 0.01
     asks: float = 0.2  # share of accepted messages that clients query during the traffic
     kept: float = 0.0  # share of messages sent on persistent connections
@@ -192,6 +193,7 @@
     "depots": (2, 50),
     "offices": (1, 9),
     "rate": (0, 5000),
+    "body_bytes": (0, 262_144),
     "delayed": (0, 1),
     "poison": (0, 1),
     "asks": (0, 1),
--- a/opalwick/lab/post/judge.py
+++ b/opalwick/lab/post/judge.py
@@ -12,9 +12,10 @@
 from opalwick.lab.post.rules_control import ControlRules
 from opalwick.lab.post.rules_messages import MessageRules
 from opalwick.lab.post.rules_recovery import RecoveryRules
+from opalwick.lab.post.rules_replicas import ReplicaRules
 
 
-class Judge(MessageRules, ConfigurationRules, ControlRules, RecoveryRules):
+class Judge(MessageRules, ConfigurationRules, ControlRules, RecoveryRules, ReplicaRules):
     """A scenario's history with the rules of all modules."""
 
     def judge(self) -> dict[str, Any]:
@@ -29,6 +30,7 @@
             self.denied,
             self.lost,
             self.kept,
+            self.full_replicas,
             self.ceiling,
             self.drain,
             self.configuration,
--- a/opalwick/lab/post/net.py
+++ b/opalwick/lab/post/net.py
@@ -157,6 +157,7 @@
             self.batch, self.batch_at = [(kind, data)], now
             self.transmit(self.batch)
         if self.waiting > self.proc.world.day.network.bound:
+            self.batch.clear()  # as in `Link.send`: the writer has had no turn since
             self.close()
 
     def transmit(self, batch: list[tuple[str, bytes]] | None) -> None:
--- a/opalwick/lab/post/sockets/world.py
+++ b/opalwick/lab/post/sockets/world.py
@@ -11,6 +11,7 @@
 import random
 import shutil
 import socket as plain
+import sqlite3
 import tempfile
 import traceback
 from collections.abc import Callable
@@ -30,6 +31,7 @@
 from opalwick.post import events
 
 WORKERS = 100  # first of the workers' last address bytes; those of machines are below
+HAS_TABLES = "select 1 from sqlite_master where name = 'ends'"
 STEP = 0.5  # s between checks whether the scenario is over
 MAX_CPU_WAIT = 0.25  # s of a second that a process may wait for a processor: one heartbeat interval
 MAX_START = 4.0  # s that the first configuration may take; on an idle machine it takes about 1 s
@@ -142,6 +144,18 @@
         """Returns nothing: the database of a running process is not read."""
         return {}
 
+    def inspect_replicas(self) -> None:
+        """Does nothing before all processes have ended, for the same reason."""
+        if not self.stopped:
+            return
+        folders = [machine.folder for machine in self.of("depot")]  # type: ignore[attr-defined]
+        disks = [sqlite3.connect(folder / "depot.sqlite3") for folder in folders if folder.is_dir()]
+        # a process may have been killed before it had made its tables
+        self.replicas.read([disk for disk in disks if disk.execute(HAS_TABLES).fetchone()])
+        self.note_thin()
+        for disk in disks:
+            disk.close()
+
     def traffic(self) -> None:
         super().traffic()
         # delays of the event queue before the traffic don't count: they come from nine simultaneous starts
@@ -188,6 +202,7 @@
                 door.server.die()
             for relay in self.relays.values():
                 relay.end()
+            self.inspect_replicas()
             self.read_logs()
             shutil.rmtree(self.folder, ignore_errors=True)
         if self.failures:
--- a/opalwick/lab/post/world.py
+++ b/opalwick/lab/post/world.py
@@ -14,6 +14,7 @@
 from opalwick.lab.post.kept import KeptConnections
 from opalwick.lab.post.net import Net
 from opalwick.lab.post.process import Machine
+from opalwick.lab.post.replicas import ReplicaCounter
 from opalwick.lab.post.roles import Attempt
 from opalwick.lab.post.strangers import Strangers
 from opalwick.lab.post.workers import Run, Table, Worker, request
@@ -57,6 +58,7 @@
         }
         self.confs: list[dict[str, Any]] = []
         self.wants: dict[str, Want] = {}
+        self.replicas = ReplicaCounter(self)
         self.completed: set[str] = set()  # request ids of messages that a worker has completed
         self.rids: dict[int, str] = {}  # request id by run number
         self.runs = self.fault_count = self.born = 0
@@ -120,8 +122,19 @@
         for rid, (letters, ends) in self.copies().items():
             if not letters and not ends:
                 self.note("bare", rid)
+        self.inspect_replicas()
         self.agenda.after(INSPECTION_INTERVAL, self.inspect)
 
+    def inspect_replicas(self) -> None:
+        """Records what accepted messages have too few replicas of."""
+        self.replicas.read([machine.disk.db for machine in self.of("depot")])
+        self.note_thin()
+
+    def note_thin(self) -> None:
+        for rid, name in self.clients.names.items():
+            if (found := self.replicas.lacking(name)) is not None:
+                self.note("thin", rid, *found)
+
     def copies(self) -> dict[str, tuple[int, int]]:
         """Returns, for each accepted message that no worker has completed, the number of store disks that
         hold it and the number that hold its end record, whether or not their machines are up."""
--- a/tests/test_lab_post_mutants.py
+++ b/tests/test_lab_post_mutants.py
@@ -1,4 +1,4 @@
-"""The judge of the post's lab is trusted as far as it has caught something: twenty faults planted into the
+"""The judge of the post's lab is trusted as far as it has caught something: two dozen faults planted into the
 roles, each found within a handful of seeds on a day that brings it about, and nothing without the fault."""
 
 from __future__ import annotations
@@ -22,8 +22,10 @@
 from opalwick.post.gateway.role import Gateway
 from opalwick.post.gateway.scheduling import Rounds
 from opalwick.post.message_state import FOUND, MessageState
-from opalwick.post.store import message_store
+from opalwick.post.store import message_store, transfers
+from opalwick.post.store.comparison import Comparison
 from opalwick.post.store.message_store import MessageStore
+from opalwick.post.store.placement import Placement
 from opalwick.post.store.rebalancing import Rebalancing
 from opalwick.post.store.records import Send, Write
 from opalwick.post.store.role import StoreRole
@@ -242,6 +244,70 @@
     patch.setattr(Ceilings, "current_lease", holds)
 
 
+WAITING = """
+depots = 4
+rate = 25.0
+delayed = 0.95
+delay = "9 s"
+body_bytes = 30000
+length = "12 s"
+after = "8 s"
+poison = 0.05
+"""
+NARROW = (
+    WAITING.replace("depots = 4", "depots = 3").replace("30000", "60000") + "[network]\nbound = 1600000\n"
+)
+
+
+@mutant(NARROW + fault("wipe", 9.0, of=["depot-0"], size=1.0), "REPLICAS")
+def copies_without_a_window(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(transfers, "WINDOW", 1 << 40)
+
+
+@mutant(WAITING + fault("wipe", 9.0, of=["depot-0"], size=1.0), "REPLICAS")
+def ends_without_their_stores(patch: pytest.MonkeyPatch) -> None:
+    add_end = MessageStore.add_end
+
+    def alone(self: MessageStore, mid: str, end: Any) -> None:
+        add_end(self, mid, end._replace(placement=Placement((self.node, self.node))))
+
+    patch.setattr(MessageStore, "add_end", alone)
+
+
+@mutant(
+    WAITING
+    + fault("emptied", 6.0, of=["depot-1"])
+    + fault("power", 6.05, of=["depot-0"], size=1.5)
+    + fault("power", 12.5, of=["depot-2"], size=0.5),
+    "REPLICAS",
+    "COPIES",
+    "LOST",
+)
+def replicas_dropped_by_an_older_list(patch: pytest.MonkeyPatch) -> None:
+    def drop(self: Comparison, reply: Any, mid: str, known: Placement, stamp: int | None) -> None:
+        if known.stamp != stamp:
+            reply.drop.append(mid)
+
+    def differ(self: MessageStore, node: str, msg: Any) -> None:
+        for mid in msg.drop:
+            if mid in self.entries:
+                self.drop(self.entries[mid])
+        self.comparison.differ(node, msg)
+
+    patch.setattr(Comparison, "compare_placements", drop)
+    patch.setattr(MessageStore, "differ", differ)
+
+
+@mutant(
+    WAITING + fault("kill_all", 6.0, size=0.3) + fault("replaced", 5.9, of=["depot-0"], size=1.5), "REPLICAS"
+)
+def only_stores_that_were_linked_are_missed(patch: pytest.MonkeyPatch) -> None:
+    lost_stores = Rebalancing.lost_stores
+    patch.setattr(
+        Rebalancing, "lost_stores", lambda self: lost_stores(self) & {*self.away_since, *self.store.peers}
+    )
+
+
 def rules(text: str, seeds: range, until: set[str]) -> dict[str, int]:
     head = text.split("[[", 1)[0]
     length = "" if "length" in head else 'length = "10 s"\n'
