Stores: a message that dies while it is copied is copied as a dead one

Callers would have seen a dead message's body gone after a further lost disk. Cause: its end came while its copy waited in the window; the bytes were then not sent, and the receiver had the end without them. Change: what has ended by the time it is read is sent as an end with its bytes.

--- a/opalwick/post/store/message_store.py
+++ b/opalwick/post/store/message_store.py
@@ -981,9 +981,12 @@
         """The disk's answer to a fetch; None: the message has ended since."""
         kind, target = why[:2]
         entry = self.entries.get(mid)
-        if kind == "dead" and message is not None and mid in self.ends:
-            end = self.end_message(mid)
-            self.send(target, "hand", Hand(letters=[message], answer=True, ends=[end]))
+        if kind != "assign" and mid in self.ends:  # since the request, if it is not for a dead message
+            if message is not None:
+                end = self.end_message(mid)
+                self.send(target, "hand", Hand(letters=[message], answer=True, ends=[end]))
+            else:
+                self.transfers.confirmed(target, mid)
             self.send_end(mid, [target])  # also for a store of the version before: its bytes, then its end
             return
         if entry is None or message is None:
--- a/tests/test_post_replication.py
+++ b/tests/test_post_replication.py
@@ -15,7 +15,8 @@
 from opalwick.post.settings import parse
 from opalwick.post.store.message_store import ASSIGN_WINDOW, MessageStore
 from opalwick.post.store.role import BODY_WINDOW, StoreRole
-from opalwick.post.wire_pb2 import Ask, Differ, Have, Hello, Holders, Keep, Letter, Mine, Pulse, Told
+from opalwick.post.store.transfers import Target
+from opalwick.post.wire_pb2 import Ask, Differ, End, Have, Hello, Holders, Keep, Letter, Mine, Pulse, Told
 
 # ---- the placement has a version
 
@@ -230,6 +231,20 @@
     assert all(not store.entries for store in d.stores.values())
 
 
+def test_a_message_that_dies_while_it_is_copied_is_copied_as_a_dead_one() -> None:
+    """The end overtook the copy, whose bytes were then not sent: they stayed on one disk."""
+    d = StoreCluster("d1 d2")
+    d.keep("m", "d1", "d2")
+    d.restart("d1", lose_disk=True)
+    source = d.stores["d2"]
+    while "m" not in source.transfers.targets.get("d1", Target()).in_flight:
+        source.differ("d1", Differ(lack=["m"]))
+    for name in ("d1", "d2"):
+        d.receive(name, "c1", "end", End(mid="m", holders=["d1", "d2"]))
+    d.until(d.now + 1.0)
+    assert d.copies("m") == ["d1", "d2"] == d.ends("m")
+
+
 def test_a_store_with_a_new_disk_is_unsure_until_all_others_have_listed_what_it_should_have() -> None:
     """Else it would say that there is no such message, though the only store that knows it is away."""
     d = StoreCluster()
