--- a/opalwick/lab/post/sockets/doors.py
+++ b/opalwick/lab/post/sockets/doors.py
@@ -4,6 +4,8 @@
 from __future__ import annotations
 
 import os
+import socket
+import sys
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
@@ -11,6 +13,7 @@
 from opalwick.lab.sockets.wire import Served, Server
 from opalwick.post.wire_pb2 import Field, Letter
 from opalwick.protocol.http import Message
+from opalwick.transport.connection import Address
 
 if TYPE_CHECKING:
     from opalwick.lab.post.sockets.world import SocketWorld
@@ -28,12 +31,22 @@
 }
 
 
-def node_of_connection(port: int, pids: dict[int, str]) -> str:
-    """Returns the node whose process has a connection from that local port, according to /proc; empty if none
-    has."""
-    end = f":{port:04X}"
+def table_address(address: Address) -> str:
+    """An IPv4 address and port as in /proc/net/tcp: the address in the machine's byte order."""
+    host, port = address
+    number = int.from_bytes(socket.inet_aton(host), sys.byteorder)
+    return f"{number:08X}:{port:04X}"
+
+
+def node_of_connection(near: Address, far: Address, pids: dict[int, str]) -> str:
+    """Returns the node whose process has the connection from address `near` to `far`, according to /proc;
+    empty if none has. Other sockets may have the same port, at another address or after their end.
+    """
+    ends = [table_address(near), table_address(far)]
     with open("/proc/net/tcp") as table:
-        inode = next((row[9] for row in map(str.split, table) if row[1].endswith(end)), "0")
+        # a connection that no process has any more has no inode
+        inodes = (row[9] for row in map(str.split, table) if row[1:3] == ends)
+        inode = next((inode for inode in inodes if inode != "0"), "0")
     for pid, node in pids.items() if inode != "0" else ():
         try:
             for name in os.listdir(f"/proc/{pid}/fd"):
@@ -60,7 +73,9 @@
             return
         fields = message.headers
         if served not in self.nodes:
-            self.nodes[served] = node_of_connection(served.sock.getpeername()[1], world.pids())
+            self.nodes[served] = node_of_connection(
+                served.sock.getpeername(), served.sock.getsockname(), world.pids()
+            )
         if not world.net.open(self.nodes[served], worker.id):
             return  # lost in the network, without an error for the sender
         letter = Letter(
--- a/tests/test_lab_post_sockets.py
+++ b/tests/test_lab_post_sockets.py
@@ -67,12 +67,23 @@
 
 
 def test_a_connection_is_told_by_its_process() -> None:
+    """Not by the first socket in the table that has the port: one at another address may, or one that ended."""
+    mine = {os.getpid(): "counter-7"}
     with socket.socket() as door:
         door.bind(("127.0.0.1", 0))
         door.listen()
         with socket.create_connection(door.getsockname()) as calling:
-            port = calling.getsockname()[1]
+            near, far = calling.getsockname(), door.getsockname()
+            accepted, _ = door.accept()
             assert (
-                node_of_connection(port, {os.getpid(): "counter-7"}) == "counter-7"
-                and node_of_connection(port, {}) == ""
+                node_of_connection(near, far, mine) == "counter-7" and node_of_connection(near, far, {}) == ""
             )
+            elsewhere = ("127.0.0.9", near[1])
+            with socket.socket() as other:
+                other.bind(elsewhere)
+                other.connect(far)
+                assert node_of_connection(near, far, mine) == "counter-7"
+                assert node_of_connection(elsewhere, far, mine) == "counter-7"
+                assert node_of_connection(elsewhere, near, mine) == ""
+    accepted.close()
+    assert node_of_connection(near, far, mine) == ""
