--- a/opalwick/lab/verify/mutants.py
+++ b/opalwick/lab/verify/mutants.py
@@ -43,7 +43,7 @@
 from opalwick.post.gateway.delivery import Delivery
 from opalwick.post.gateway.intake import Intake
 from opalwick.post.gateway.role import Gateway
-from opalwick.post.store import message_store
+from opalwick.post.store import gateway_leases
 from opalwick.post.store.message_store import MessageStore
 from opalwick.post.store.comparison import Comparison
 from opalwick.post.store.rebalancing import Rebalancing
@@ -77,12 +77,15 @@
     return register
 
 
+INHERITED = object()  # in place of an attribute that a class has from its bases
+
+
 @contextmanager
 def planted_mutant(found: Mutant) -> Iterator[None]:
     undo: list[tuple[Any, str, Any]] = []
 
     def patch(where: Any, name: str, what: Any) -> None:
-        undo.append((where, name, where.__dict__[name]))
+        undo.append((where, name, where.__dict__.get(name, INHERITED)))
         setattr(where, name, what)
 
     found.plant(patch)
@@ -90,7 +93,10 @@
         yield
     finally:
         for where, name, original in reversed(undo):
-            setattr(where, name, original)
+            if original is INHERITED:
+                delattr(where, name)
+            else:
+                setattr(where, name, original)
 
 
 def search_mutant(name: str, max_states: int = MAX_STATES) -> SearchResult:
@@ -317,7 +323,7 @@
 
 @mutant("fence", fence(Fence(time=6, freeze=1, reorder=0), *STORED), "two deliverers")
 def assigned_before_the_lapse(patch: Patch) -> None:
-    patch(message_store, "LAPSE", 0.6)
+    patch(gateway_leases, "LAPSE", 0.6)
 
 
 @mutant("fence", fence(Fence(time=6, freeze=1, reorder=0), *STORED), "two deliverers")
--- a/opalwick/post/gateway/role.py
+++ b/opalwick/post/gateway/role.py
@@ -20,7 +20,7 @@
 from opalwick.post.gateway.linked_stores import linked_stores
 from opalwick.post.gateway.lookup import Lookups
 from opalwick.post.gateway.scheduling import PARK_AFTER, Rounds
-from opalwick.post.store.message_store import LAPSE, MARGIN
+from opalwick.post.store.gateway_leases import LAPSE, MARGIN
 from opalwick.post.residency.guard import Guard
 from opalwick.post.residency.policy import partner_name
 from opalwick.post.residency.wait_estimate import WaitEstimate
--- a/opalwick/post/store/status.py
+++ b/opalwick/post/store/status.py
@@ -9,7 +9,7 @@
 
 from opalwick.post.gateway.routes import Routes
 from opalwick.post.store.disk import Row
-from opalwick.post.store.message_store import LAPSE
+from opalwick.post.store.gateway_leases import LAPSE
 from opalwick.post.store.records import Entry
 from opalwick.post.store.role import StoreRole
 from opalwick.post.residency.audit import rows as rows_of
--- a/tests/test_lab_post_mutants.py
+++ b/tests/test_lab_post_mutants.py
@@ -22,12 +22,12 @@
 from opalwick.post.gateway.role import Gateway
 from opalwick.post.gateway.scheduling import Rounds
 from opalwick.post.message_state import FOUND, MessageState
-from opalwick.post.store import message_store, transfers
+from opalwick.post.store import gateway_leases, transfers
 from opalwick.post.store.comparison import Comparison
 from opalwick.post.store.message_store import MessageStore
 from opalwick.post.store.placement import Placement
 from opalwick.post.store.rebalancing import Rebalancing
-from opalwick.post.store.records import Send, Write
+from opalwick.post.store.records import Fetch, Send, Write
 from opalwick.post.store.role import StoreRole
 from opalwick.post.wire_pb2 import Conf, News, Told, Written
 
@@ -151,7 +151,7 @@
 @mutant('rate = 20.0\nlength = "8 s"', "AGAIN", "TWICE", "RECOVER")
 def assigned_without_a_lapse(patch: pytest.MonkeyPatch) -> None:
     for name, span in (("LAPSE", 0.1), ("QUERY_AFTER", 0.0), ("QUERY_FOR", 0.0)):
-        patch.setattr(message_store, name, span)
+        patch.setattr(gateway_leases, name, span)
 
 
 @mutant(
@@ -227,7 +227,7 @@
         told: Told = self.store.state(word.mid)
         told.call = word.call
         if word.body and told.state == MessageState.PENDING:
-            self.queue.append(message_store.Fetch(word.mid, ("told", link, word.call)))
+            self.queue.append(Fetch(word.mid, ("told", link, word.call)))
         else:
             link.send("told", told)
 
--- a/tests/test_lab_post_sockets.py
+++ b/tests/test_lab_post_sockets.py
@@ -67,7 +67,9 @@
 
 
 def test_a_connection_is_told_by_its_process() -> None:
-    """Not by the first socket in the table that has the port: one at another address may, or one that ended."""
+    """Not by the first socket in the table that has the port: one at another address may have it, or one that
+    ended.
+    """
     mine = {os.getpid(): "counter-7"}
     with socket.socket() as door:
         door.bind(("127.0.0.1", 0))
--- a/tests/test_post_keeping.py
+++ b/tests/test_post_keeping.py
@@ -7,7 +7,8 @@
 import pytest
 from post_helper import Player, client_message, peer_message
 
-from opalwick.post.store.message_store import LAPSE, STALL, MessageStore
+from opalwick.post.store.gateway_leases import LAPSE
+from opalwick.post.store.message_store import STALL, MessageStore
 from opalwick.post.store.records import Fetch, Write
 from opalwick.post.wire_pb2 import Hand, Keep, Letter, Pulse
 
--- a/tests/test_post_replication.py
+++ b/tests/test_post_replication.py
@@ -13,7 +13,8 @@
 
 from opalwick.post.message_state import MessageState
 from opalwick.post.settings import parse
-from opalwick.post.store.message_store import ASSIGN_WINDOW, MessageStore
+from opalwick.post.store.gateway import ASSIGN_WINDOW
+from opalwick.post.store.message_store import MessageStore
 from opalwick.post.store.role import BODY_WINDOW, StoreRole
 from opalwick.post.store.transfers import Target
 from opalwick.post.wire_pb2 import Ask, Differ, End, Have, Hello, Holders, Keep, Letter, Mine, Pulse, Told
