Stores: messages that no listed store vouches for are asked for at each new link

Cause, by reading: they were asked for once, before a store settled; a store that settled before those that knew the outcome were there learned it only with the next scan for repair, half a second later. Also: what a residency check keeps back held its part of a window until a time-out; numbers of questions to stores of the version before, and messages that a lost link had promised, were remembered. Change: each link that comes up begins the question anew; the rest is released.

--- a/opalwick/post/store/comparison.py
+++ b/opalwick/post/store/comparison.py
@@ -56,7 +56,7 @@
         ] = {}  # messages that should be here and are not: the store that lists each
         self.doubtful: dict[str, None] = {}  # messages for which no store of their placement vouches
         self.probes = set[tuple[str, int]]()  # requests about doubtful messages that await their answer
-        self.orphans_found = False  # since the start or the last stall
+        self.orphans_found = False  # since the last link came up
         self.learner = False
         # replicas that the newest placement does not list: the listed stores that have confirmed theirs
         self.surplus: dict[str, set[str]] = {}
@@ -68,6 +68,7 @@
         """Compares all that this store and that one should both have."""
         store = self.store
         self.awaited.add(node)
+        self.orphans_found = False
         self.compared_at[node] = store.now
         pending, ended = store.entry_holders.of(node), store.end_holders.of(node)
         parts = deque(Part(pending[at : at + BATCH], []) for at in range(0, len(pending), BATCH))
@@ -83,6 +84,7 @@
         self.compared_at.pop(node, None)
         self.requests = {key: mids for key, mids in self.requests.items() if key[0] != node}
         self.probes = {key for key in self.probes if key[0] != node}
+        self.missing = {mid: sender for mid, sender in self.missing.items() if sender != node}
 
     def send_next(self, node: str) -> None:
         """Sends the next part of the comparison, of what is still here."""
@@ -98,7 +100,8 @@
     def request(self, node: str, pending: list[str]) -> Have:
         """A question about pending messages, whose answer is awaited."""
         self.last_number += 1
-        self.requests[node, self.last_number] = pending
+        if self.store.protocols.get(node):  # else no answer will name the number
+            self.requests[node, self.last_number] = pending
         stamps = [self.store.entries[mid].placement.stamp for mid in pending]
         return Have(pending=pending, stamps=stamps, number=self.last_number)
 
@@ -282,9 +285,8 @@
             asked = [mid for mid in mids if node not in self.store.entries[mid].replicas]
             for at in range(0, len(asked), BATCH):
                 message = self.request(node, asked[at : at + BATCH])
-                self.requests.pop((node, message.number))
                 message.ends = True
-                if self.store.protocols.get(node):
+                if self.requests.pop((node, message.number), None) is not None:
                     self.probes.add((node, message.number))
                 self.store.send(node, "have", message)
 
@@ -298,8 +300,11 @@
                 self.start(node)
         if self.surplus:
             self.ask_about_surplus()
-        if self.doubtful and not self.awaited and (store.settled or self.orphans_found):
-            self.probe()
+        if not self.awaited:
+            if not self.orphans_found:
+                self.find_orphans()
+            if self.doubtful:
+                self.probe()
 
     def learned(self, lost: set[str]) -> bool:
         """Whether this store has just ceased to be a learner. `lost`: stores that are taken to be lost."""
@@ -312,15 +317,10 @@
 
     def is_complete(self) -> bool:
         """Whether every linked store has answered, also about messages that no other store vouches for."""
-        if self.awaited:
-            return False
-        if not self.orphans_found:
-            self.find_orphans()
-        return not self.doubtful and not self.probes
+        return self.orphans_found and not (self.awaited or self.doubtful or self.probes)
 
     def restart(self, nodes: Iterable[str]) -> None:
         """Compares everything again, as after a start."""
-        self.orphans_found = False
         for node in nodes:
             self.start(node)
 
--- a/opalwick/post/store/outcomes.py
+++ b/opalwick/post/store/outcomes.py
@@ -71,6 +71,7 @@
         """Records an end that another store reports."""
         self.transfers.confirmed(node, end.mid)
         if end.mid in self.ends:
+            self.comparison.arrived(end.mid)
             self.place(end.mid, Placement(tuple(end.holders), end.placement))
         else:
             self.finish(end)
--- a/opalwick/post/store/role.py
+++ b/opalwick/post/store/role.py
@@ -224,6 +224,9 @@
         for node, kind, msg in sends:
             if kind not in ("hand", "assign") or self.may_send(node, kind, msg):
                 self.send(node, kind, msg)
+            elif kind == "hand":
+                for message in msg.letters:  # they leave the window, as no answer will come
+                    self.store.transfers.confirmed(node, message.mid)
         self.queue += writes
         self.queue += fetches
 
--- a/tests/test_post_replication.py
+++ b/tests/test_post_replication.py
@@ -189,6 +189,26 @@
     assert "m" in d.stores["d1"].ends and not d.stores["d1"].figures["assigned"]
 
 
+def test_a_store_that_comes_later_is_asked_about_messages_that_no_listed_store_vouches_for() -> None:
+    """All restart at once; d1 has settled before the stores that know the outcome are there."""
+    d = StoreCluster("d1 d2 d3 d4")
+    d.keep("m", "d1", "d2", due=15.0)
+    d.kill("d1")
+    d.retire("d2")
+    d.until(d.now + 2.0)
+    d.remove("d2")
+    d.end("m")
+    for name in ("d3", "d4"):
+        d.kill(name)
+    d.start("d1")
+    d.until(d.now + 4.0)
+    assert d.stores["d1"].settled and "m" in d.stores["d1"].entries
+    d.start("d3")
+    d.start("d4")
+    d.until(d.now + 1.0)
+    assert "m" in d.stores["d1"].ends and not d.stores["d1"].figures["assigned"]
+
+
 def test_a_refused_replica_goes_to_another_store() -> None:
     d = StoreCluster("d1 d2 d3 d4")
     mids = d.keep_many(40)
