Stores: two placements made during a cut become one again

Cause: two stores that were cut off from each other, while a newer one was there, each replaced the other. Neither was in the placement that the other had made, so they compared nothing when the link came back; of two stores of an older placement only one learned the newer one. Change: messages whose placement left out a store that was away are asked for at that store once it is back; whoever learns a newer placement tells the linked stores of the one that it replaces. The tests' network sends nothing where there is no link.

--- a/opalwick/post/store/comparison.py
+++ b/opalwick/post/store/comparison.py
@@ -57,6 +57,8 @@
         self.doubtful: dict[str, None] = {}  # messages for which no store of their placement vouches
         self.probes = set[tuple[str, int]]()  # requests about doubtful messages that await their answer
         self.orphans_found = False  # since the last link came up
+        # by store that was away as a placement without it was adopted: the messages
+        self.uninformed: dict[str, set[str]] = {}
         self.learner = False
         # replicas that the newest placement does not list: the listed stores that have confirmed theirs
         self.surplus: dict[str, set[str]] = {}
@@ -75,6 +77,7 @@
         parts.extend(Part([], ended[at : at + BATCH]) for at in range(0, len(ended), BATCH))
         self.parts[node] = parts or deque([Part([], [])])
         self.send_next(node)
+        self.ask(node, sorted(self.uninformed.pop(node, ())))
 
     def down(self, node: str) -> None:
         """The link to that store is down."""
@@ -166,7 +169,7 @@
             if (entry := store.entries.get(mid)) is not None and not store.protocols.get(node):
                 store.drop(entry)
         for holders in msg.holders:
-            self.learn_placement(node, holders)
+            self.learn_placement(node, holders.mid, placement_of(holders))
         for mid in msg.stale:
             if (known := store.entries.get(mid) or store.ends.get(mid)) is not None:
                 store.send(node, "holders", holders_message(mid, known.placement))
@@ -192,14 +195,17 @@
         if entry is not None:
             store.send_end(end.mid, [n for n in entry.replicas if n in store.peers and n != node])
 
-    def learn_placement(self, node: str, holders: Holders) -> None:
-        """Another store has a newer placement; the other replicas may have missed it too."""
+    def learn_placement(self, node: str, mid: str, placement: Placement) -> None:
+        """Another store names a placement. If it is newer, stores of the one that it replaces may have missed
+        it, as that one may be the outcome of a change of their own: they are told.
+        """
         store = self.store
-        known = store.entries.get(holders.mid)
-        if store.place(holders.mid, placement_of(holders)) and known is not None:
-            for other in {*known.replicas, *holders.holders} - {node, store.node}:
+        known = store.entries.get(mid)
+        before = known.replicas if known is not None else ()
+        if store.place(mid, placement) and known is not None:
+            for other in sorted(set(before) - {*placement.replicas, node, store.node}):
                 if other in store.peers:
-                    store.send(other, "holders", holders)
+                    store.send(other, "holders", holders_message(mid, placement))
 
     def risk(self, mid: str) -> tuple[int, float]:
         """Sorts messages to copy: those with the fewest linked replicas first, then by time."""
@@ -222,6 +228,13 @@
 
     # ---- surplus replicas
 
+    def left_out(self, mid: str, nodes: set[str]) -> None:
+        """The newest placement no longer lists these stores. One that is away may change its own placement
+        meanwhile, so that neither lists the other: they compare once it is back.
+        """
+        for node in nodes - self.store.peers.keys() - {self.store.node}:
+            self.uninformed.setdefault(node, set()).add(mid)
+
     def placed(self, mid: str, replicas: tuple[str, ...]) -> None:
         """The placement of a message that is pending here has changed."""
         if self.store.node in replicas:
@@ -282,13 +295,19 @@
         mids = [mid for mid in self.doubtful if mid in self.store.entries]
         self.doubtful.clear()
         for node in self.store.peers:
-            asked = [mid for mid in mids if node not in self.store.entries[mid].replicas]
-            for at in range(0, len(asked), BATCH):
-                message = self.request(node, asked[at : at + BATCH])
-                message.ends = True
-                if self.requests.pop((node, message.number), None) is not None:
-                    self.probes.add((node, message.number))
-                self.store.send(node, "have", message)
+            self.ask(node, [mid for mid in mids if node not in self.store.entries[mid].replicas])
+
+    def ask(self, node: str, mids: list[str]) -> None:
+        """Asks a store that should not have these messages whether they have ended or have another placement
+        there.
+        """
+        present = [mid for mid in mids if mid in self.store.entries]
+        for at in range(0, len(present), BATCH):
+            message = self.request(node, present[at : at + BATCH])
+            message.ends = True
+            if self.requests.pop((node, message.number), None) is not None:
+                self.probes.add((node, message.number))
+            self.store.send(node, "have", message)
 
     # ---- time
 
--- a/opalwick/post/store/replicas.py
+++ b/opalwick/post/store/replicas.py
@@ -27,7 +27,7 @@
         if entry is not None and unnumbered and placement.replicas != entry.replicas:
             # the sender's version numbers no placements: whatever it names is taken as a change
             placement = entry.placement.changed_to(placement.replicas)
-        self.place(msg.mid, placement)
+        self.comparison.learn_placement(node, msg.mid, placement)
 
     def rotten(self, mid: str) -> None:
         """The message's bytes on this disk are corrupted: this replica is lost, and requested again from the
--- a/opalwick/post/store/store_base.py
+++ b/opalwick/post/store/store_base.py
@@ -179,6 +179,7 @@
         if isinstance(known, KnownEnd):
             self.ends[mid] = known._replace(placement=placement)
         else:
+            self.comparison.left_out(mid, set(known.replicas) - set(placement.replicas))
             known.placement = placement
             self.comparison.placed(mid, placement.replicas)
         kind = "end_holders" if ended else "holders"
--- a/tests/post_stores.py
+++ b/tests/post_stores.py
@@ -115,7 +115,7 @@
                 store.depot_down(b)
 
     def send(self, sender: str, node: str, kind: str, message: Any) -> None:
-        if node not in self.stores or sender not in self.stores:
+        if sender not in self.stores or node not in self.stores[sender].peers:
             return
         start = max(self.now, self.busy.get((sender, node), 0.0))
         self.busy[sender, node] = start + message.ByteSize() / LINK_RATE
--- a/tests/test_post_replication.py
+++ b/tests/test_post_replication.py
@@ -93,6 +93,38 @@
     assert d.copies("m") == ["d2", "d3"]
 
 
+def test_two_stores_that_replaced_each_other_during_a_cut_agree_again() -> None:
+    """Neither was in the placement that the other one had made, so they compared nothing, and two sets of
+    replicas went on side by side.
+    """
+    d = StoreCluster("d1 d2 d3 d4")
+    for n in range(40):
+        d.keep(f"m{n}", "d1", "d2")
+    d.start("d5")
+    d.unlink("d1", "d2")
+    d.until(d.now + 3.0)
+    sets = {d.stores[name].entries["m0"].replicas for name in ("d1", "d2")}
+    assert len(sets) == 2
+    d.link("d1", "d2")
+    d.until(d.now + SYNC_S)
+    for n in range(40):
+        copies = d.copies(f"m{n}")
+        assert len(copies) == COPIES
+        assert {d.stores[name].entries[f"m{n}"].replicas for name in copies} <= {
+            tuple(copies),
+            tuple(copies[::-1]),
+        }
+
+
+def test_a_store_of_a_placement_that_is_replaced_is_told_by_whoever_learns_it() -> None:
+    d = StoreCluster()
+    d.keep("m", "d1", "d2")
+    newer = Holders(mid="m", holders=["d3", "d1"], placement=2)
+    d.receive("d1", "d3", "differ", Differ(holders=[newer]))
+    d.until(d.now + 0.1)
+    assert d.stores["d2"].entries["m"].placement == (("d3", "d1"), 2)
+
+
 # ---- bulk has a window
 
 
