Stores: placements made during a cut become one again after restarts too

Callers could have had a message delivered twice: two stores that are cut off from each other each replace the other; both are restarted before they are linked again. Both replica sets stayed (4 replicas in place of 2).

Cause: who was away as a placement was made was known to that process only, and neither store was in the other's placement, so they compared nothing.

Change: the first link of a process to a store asks about all messages whose placement was changed and does not list that store. Why it works in any order: of two placements of one message at least the newer one has a version on disk, and whoever holds it asks, or lists the other.

--- a/opalwick/post/store/comparison.py
+++ b/opalwick/post/store/comparison.py
@@ -59,6 +59,7 @@
         self.orphans_found = False  # since the last link came up
         # by store that was away as a placement without it was adopted: the messages
         self.uninformed: dict[str, set[str]] = {}
+        self.seen_before = set[str]()  # stores that were linked since the start of this process
         self.learner = False
         # replicas that the newest placement does not list: the listed stores that have confirmed theirs
         self.surplus: dict[str, set[str]] = {}
@@ -77,7 +78,20 @@
         parts.extend(Part([], ended[at : at + BATCH]) for at in range(0, len(ended), BATCH))
         self.parts[node] = parts or deque([Part([], [])])
         self.send_next(node)
-        self.ask(node, sorted(self.uninformed.pop(node, ())))
+        self.ask(node, self.conflicts_possible_with(node))
+
+    def conflicts_possible_with(self, node: str) -> list[str]:
+        """Messages whose placement does not list that store, while that store may have another placement of
+        them that does not list this one. Whoever was away when a placement was made is not on disk with it,
+        so after a start these are all messages whose placement was changed.
+        """
+        mids = self.uninformed.pop(node, set())
+        if node not in self.seen_before:
+            self.seen_before.add(node)
+            for mid, entry in self.store.entries.items():
+                if entry.placement.version and node not in entry.replicas:
+                    mids.add(mid)
+        return sorted(mids)
 
     def down(self, node: str) -> None:
         """The link to that store is down."""
--- a/tests/test_post_replication.py
+++ b/tests/test_post_replication.py
@@ -107,7 +107,31 @@
     assert len(sets) == 2
     d.link("d1", "d2")
     d.until(d.now + SYNC_S)
+    assert_one_placement(d, 40)
+
+
+def test_placements_made_during_a_cut_become_one_again_though_both_stores_were_restarted() -> None:
+    """What each had to tell the other was known to the processes of before only, and neither was in the
+    placement of the other: both replica sets stayed, and each had its message delivered.
+    """
+    d = StoreCluster("d1 d2 d3 d4")
     for n in range(40):
+        d.keep(f"m{n}", "d1", "d2")
+    d.start("d5")
+    d.unlink("d1", "d2")
+    d.until(d.now + 3.0)
+    assert any(len(d.copies(f"m{n}")) == 2 * COPIES for n in range(40))
+    for name in ("d1", "d2"):
+        d.kill(name)
+    for name in ("d1", "d2"):
+        d.start(name)
+    d.until(d.now + SYNC_S)
+    assert_one_placement(d, 40)
+
+
+def assert_one_placement(d: StoreCluster, count: int) -> None:
+    """Each message has its full replicas, and all of them name the same stores."""
+    for n in range(count):
         copies = d.copies(f"m{n}")
         assert len(copies) == COPIES
         assert {d.stores[name].entries[f"m{n}"].replicas for name in copies} <= {
@@ -333,7 +357,7 @@
                 ended.add(mid)
                 d.end(mid, draw.random() < 0.7)
         name = draw.choice(sorted(d.stores))
-        what = draw.choice(("lose", "restart", "add", "retire", "cut"))
+        what = draw.choice(("lose", "restart", "add", "retire", "cut", "cut and restart"))
         if what in ("lose", "restart"):
             d.restart(name, what == "lose", draw.choice((0.3, DOWN, 5.0)))
         elif what == "add":
@@ -350,6 +374,13 @@
             d.unlink(name, other)
             d.until(d.now + draw.choice((0.2, 3.0)))
             d.link(name, other)
+        elif what == "cut and restart":
+            other = draw.choice(sorted(set(d.stores) - {name}))
+            d.unlink(name, other)
+            d.until(d.now + draw.choice((0.2, 3.0, 9.0)))
+            d.kill(name)
+            d.restart(other, down=draw.choice((0.3, DOWN)))
+            d.start(name)
         d.until(d.now + SYNC_S)
         for mid in mids:
             assert len(d.ends(mid)) >= COPIES if mid in ended else len(d.copies(mid)) == COPIES, (what, mid)
