--- a/tests/test_post_replication.py
+++ b/tests/test_post_replication.py
@@ -322,6 +322,19 @@
     assert d.copies("m") == ["d1", "d2"] == d.ends("m")
 
 
+def test_a_dead_message_whose_bytes_are_corrupted_gets_them_again() -> None:
+    """Only a pending message was asked for again; the bytes of a dead one stayed on one disk."""
+    d = StoreCluster()
+    d.keep("m", "d1", "d2")
+    d.end("m", complete=False)
+    d.stores["d1"].rotten("m")
+    assert not d.stores["d1"].size_of("m")
+    d.settle("d1", d.stores["d1"])
+    assert d.copies("m") == ["d2"]
+    d.until(d.now + 0.1)
+    assert d.copies("m") == ["d1", "d2"] == d.ends("m")
+
+
 def test_a_store_with_a_new_disk_is_unsure_until_all_others_have_listed_what_it_should_have() -> None:
     """Else it would say that there is no such message, though the only store that knows it is away."""
     d = StoreCluster()
