Stores: a newer placement of an end is passed on

Operators would have seen a store that is to be removed stay for up to a minute. Cause: whoever learns a newer placement of a pending message tells the linked stores of the one that it replaces; for ends, and placements that come with an end, nobody did. Such a store waited for another one that no longer listed it. Change: one way of learning a placement, for messages and ends.

--- a/opalwick/post/store/comparison.py
+++ b/opalwick/post/store/comparison.py
@@ -214,12 +214,13 @@
         it, as that one may be the outcome of a change of their own: they are told.
         """
         store = self.store
-        known = store.entries.get(mid)
+        known = store.entries.get(mid) or store.ends.get(mid)
         before = known.replicas if known is not None else ()
-        if store.place(mid, placement) and known is not None:
-            for other in sorted(set(before) - {*placement.replicas, node, store.node}):
-                if other in store.peers:
-                    store.send(other, "holders", holders_message(mid, placement))
+        if not store.place(mid, placement):
+            return
+        for other in sorted(set(before) - {*placement.replicas, node, store.node}):
+            if other in store.peers:
+                store.send(other, "holders", holders_message(mid, placement))
 
     def risk(self, mid: str) -> tuple[int, float]:
         """Sorts messages to copy: those with the fewest linked replicas first, then by time."""
@@ -363,6 +364,6 @@
     return Holders(mid=mid, holders=placement.replicas, placement=placement.version)
 
 
-def placement_of(msg: Holders) -> Placement:
+def placement_of(msg: Holders | End) -> Placement:
     """The placement that a peer message names."""
     return Placement(tuple(msg.holders), msg.placement)
--- a/opalwick/post/store/outcomes.py
+++ b/opalwick/post/store/outcomes.py
@@ -6,6 +6,7 @@
 
 from opalwick.post.message_state import MessageState
 from opalwick.post.names import process_id
+from opalwick.post.store.comparison import placement_of
 from opalwick.post.store.placement import Placement
 from opalwick.post.store.records import KnownEnd, Write
 from opalwick.post.store.store_base import StoreBase
@@ -23,18 +24,18 @@
             self.transfers.confirmed(node, msg.mid)
         if msg.mid in self.ends:
             if node in self.peers:
-                self.place(msg.mid, Placement(tuple(msg.holders), msg.placement))
+                self.comparison.learn_placement(node, msg.mid, placement_of(msg))
             self.writes.append(Write("none", (), (confirmation,)))
             self.compare_successes(node, msg)
             return
         entry, gateway = self.entries.get(msg.mid), self.gateways.get(node)
         self.finish(msg, confirmation)
-        if entry is not None and gateway is not None:
-            # that gateway may lack some of the replicas, or have no link to them
+        if entry is not None:
+            # the sender may lack some of the replicas, or have no link to them
             uninformed = set(entry.replicas) - set(msg.holders or entry.replicas)
-            if entry.owner != process_id(node, gateway.incarnation):
+            if gateway is not None and entry.owner != process_id(node, gateway.incarnation):
                 uninformed = set(entry.replicas)
-            self.send_end(msg.mid, sorted(uninformed & set(self.peers)))
+            self.send_end(msg.mid, sorted(uninformed & set(self.peers) - {node}))
         # only the first replica counts the run
         if entry is not None and msg.complete and self.node in entry.replicas[:1]:
             self.audit(entry, "runs", msg.country)
@@ -72,7 +73,7 @@
         self.transfers.confirmed(node, end.mid)
         if end.mid in self.ends:
             self.comparison.arrived(end.mid)
-            self.place(end.mid, Placement(tuple(end.holders), end.placement))
+            self.comparison.learn_placement(node, end.mid, placement_of(end))
         else:
             self.finish(end)
 
--- a/tests/test_post_replication.py
+++ b/tests/test_post_replication.py
@@ -17,7 +17,19 @@
 from opalwick.post.store.message_store import MessageStore
 from opalwick.post.store.role import BODY_WINDOW, StoreRole
 from opalwick.post.store.transfers import Target
-from opalwick.post.wire_pb2 import Ask, Differ, End, Have, Hello, Holders, Keep, Letter, Mine, Pulse, Told
+from opalwick.post.wire_pb2 import (
+    Ask,
+    Differ,
+    End,
+    Have,
+    Hello,
+    Holders,
+    Keep,
+    Letter,
+    Mine,
+    Pulse,
+    Told,
+)
 
 # ---- the placement has a version
 
@@ -140,13 +152,27 @@
         }
 
 
-def test_a_store_of_a_placement_that_is_replaced_is_told_by_whoever_learns_it() -> None:
+@pytest.mark.parametrize("ended", [False, True])
+def test_a_store_of_a_placement_that_is_replaced_is_told_by_whoever_learns_it(ended: bool) -> None:
+    """For ends it was not: a store to be removed went on waiting for one that had it in no placement."""
     d = StoreCluster()
     d.keep("m", "d1", "d2")
+    if ended:
+        d.end("m")
     newer = Holders(mid="m", holders=["d3", "d1"], placement=2)
     d.receive("d1", "d3", "differ", Differ(holders=[newer]))
     d.until(d.now + 0.1)
-    assert d.stores["d2"].entries["m"].placement == (("d3", "d1"), 2)
+    known = d.stores["d2"].ends["m"] if ended else d.stores["d2"].entries["m"]
+    assert known.placement == (("d3", "d1"), 2)
+
+
+def test_a_placement_that_comes_with_an_end_is_passed_on() -> None:
+    d = StoreCluster()
+    d.keep("m", "d1", "d2")
+    d.end("m")
+    d.receive("d1", "d3", "end", End(mid="m", complete=True, holders=["d3", "d1"], placement=2))
+    d.until(d.now + 0.1)
+    assert d.stores["d2"].ends["m"].placement == (("d3", "d1"), 2)
 
 
 # ---- bulk has a window
