Stores: the placement of a copy that comes is checked with the stores that it lists

Operators would have seen a store that is to be removed stay for up to a minute. Cause: a copy came from a store that was out of date, after the receiver had compared with the one that knew better; nothing compared the two again before the next look a minute later. Change: what has come from a store is asked for, once it is on this disk, at the other listed stores. With two replicas there is no other one unless the sender is out of the placement, so a usual copy costs nothing.

--- a/opalwick/post/store/comparison.py
+++ b/opalwick/post/store/comparison.py
@@ -60,6 +60,9 @@
         # by store that was away as a placement without it was adopted: the messages
         self.uninformed: dict[str, set[str]] = {}
         self.seen_before = set[str]()  # stores that were linked since the start of this process
+        self.received: dict[
+            str, str
+        ] = {}  # copies that have come since the last tick: the store that sent each
         self.learner = False
         # replicas that the newest placement does not list: the listed stores that have confirmed theirs
         self.surplus: dict[str, set[str]] = {}
@@ -108,20 +111,30 @@
         store, part = self.store, self.parts[node].popleft()
         message = self.request(node, [mid for mid in part.pending if mid in store.entries])
         for mid in part.ended:
-            if (end := store.ends.get(mid)) is not None and mid not in store.unsynced:
-                message.ended.append(mid)
-                message.ended_stamps.append(end.placement.stamp)
+            self.list_end(message, mid)
         message.last = not self.parts[node]
         store.send(node, "have", message)
 
-    def request(self, node: str, pending: list[str]) -> Have:
-        """A question about pending messages, whose answer is awaited."""
+    def list_end(self, message: Have, mid: str) -> None:
+        """Adds an end to a list, if it is on this disk."""
+        end = self.store.ends.get(mid)
+        if end is not None and mid not in self.store.unsynced:
+            message.ended.append(mid)
+            message.ended_stamps.append(end.placement.stamp)
+
+    def question(self, pending: list[str]) -> Have:
+        """A message with these pending messages and a number of its own."""
         self.last_number += 1
-        if self.store.protocols.get(node):  # else no answer will name the number
-            self.requests[node, self.last_number] = pending
         stamps = [self.store.entries[mid].placement.stamp for mid in pending]
         return Have(pending=pending, stamps=stamps, number=self.last_number)
 
+    def request(self, node: str, pending: list[str]) -> Have:
+        """A question about pending messages, whose answer confirms those that it does not name."""
+        message = self.question(pending)
+        if self.store.protocols.get(node):  # else no answer will name the number
+            self.requests[node, message.number] = pending
+        return message
+
     # ---- the other store's list
 
     def have(self, node: str, msg: Have) -> None:
@@ -140,10 +153,10 @@
                 self.report_missing(reply, node, mid)
         for mid, stamp in zip(msg.ended, msg.ended_stamps):
             end = store.ends.get(mid)
-            if end is None or (not end.complete and mid not in store.dead_sizes):
-                self.report_missing(reply, node, mid)
-            else:
+            if end is not None and (end.complete or mid in store.dead_sizes):
                 self.compare_placements(reply, mid, end.placement, stamp)
+            elif not msg.ends:
+                self.report_missing(reply, node, mid)
         if msg.last and not msg.ends:
             self.listed_by.add(node)
         if msg.number or not msg.ends or reply.ends:
@@ -313,16 +326,41 @@
             self.ask(node, [mid for mid in mids if node not in self.store.entries[mid].replicas])
 
     def ask(self, node: str, mids: list[str]) -> None:
-        """Asks a store that should not have these messages whether they have ended or have another placement
-        there.
+        """Asks a store whether these messages have ended there or have another placement; it need not have
+        them.
         """
-        present = [mid for mid in mids if mid in self.store.entries]
+        store = self.store
+        present = [mid for mid in mids if mid in store.entries or mid in store.ends]
         for at in range(0, len(present), BATCH):
-            message = self.request(node, present[at : at + BATCH])
+            batch = present[at : at + BATCH]
+            message = self.question([mid for mid in batch if mid in store.entries])
             message.ends = True
-            if self.requests.pop((node, message.number), None) is not None:
+            for mid in batch:
+                self.list_end(message, mid)
+            if store.protocols.get(node):
                 self.probes.add((node, message.number))
-            self.store.send(node, "have", message)
+            store.send(node, "have", message)
+
+    # ---- copies that have come
+
+    def copied(self, node: str, mid: str) -> None:
+        """A copy of a message or of its end has come from a store, whose placement may be outdated. The other
+        listed stores may have compared with this one before it was here.
+        """
+        self.received[mid] = node
+
+    def check_received(self) -> None:
+        """Asks the other listed stores about copies that are on this disk now."""
+        store, by_node = self.store, dict[str, list[str]]()
+        for mid, sender in list(self.received.items()):
+            if mid in store.unsynced:
+                continue
+            del self.received[mid]
+            for node in store.replicas_of(mid):
+                if node in store.peers and node not in (sender, store.node):
+                    by_node.setdefault(node, []).append(mid)
+        for node, mids in by_node.items():
+            self.ask(node, mids)
 
     # ---- time
 
@@ -334,6 +372,8 @@
                 self.start(node)
         if self.surplus:
             self.ask_about_surplus()
+        if self.received:
+            self.check_received()
         if not self.awaited:
             if not self.orphans_found:
                 self.find_orphans()
--- a/opalwick/post/store/outcomes.py
+++ b/opalwick/post/store/outcomes.py
@@ -30,6 +30,8 @@
             return
         entry, gateway = self.entries.get(msg.mid), self.gateways.get(node)
         self.finish(msg, confirmation)
+        if node in self.peers:
+            self.comparison.copied(node, msg.mid)
         if entry is not None:
             # the sender may lack some of the replicas, or have no link to them
             uninformed = set(entry.replicas) - set(msg.holders or entry.replicas)
@@ -76,6 +78,7 @@
             self.comparison.learn_placement(node, end.mid, placement_of(end))
         else:
             self.finish(end)
+            self.comparison.copied(node, end.mid)
 
     def finish(self, msg: End, *then: tuple[str, str, Any]) -> None:
         """Records the end of a message, which is final: the first report counts. Its owner is informed, if
--- a/opalwick/post/store/replicas.py
+++ b/opalwick/post/store/replicas.py
@@ -61,7 +61,7 @@
             elif msg.answer and (self.seal.closed or (not msg.restored and not self.has_room(message))):
                 self.send(node, "kept", Kept(mid=message.mid, refused=True))
             elif self.seal.written is None:  # a sealed disk takes no replicas
-                self.hand_new(message, process, confirmation)
+                self.hand_new(node, message, process, confirmation)
 
     def has_room(self, message: Letter) -> bool:
         return self.stored_bytes + message.ByteSize() <= self.room
@@ -87,13 +87,16 @@
             self.set_owner(known, process)
         self.writes.append(Write("none", (), then))
 
-    def hand_new(self, message: Letter, process: str, then: tuple[tuple[str, str, Any], ...]) -> None:
+    def hand_new(
+        self, node: str, message: Letter, process: str, then: tuple[tuple[str, str, Any], ...]
+    ) -> None:
         entry = self.entry_of(message)
         if process:
             entry.owner = process
             self.owned.setdefault(process, set()).add(entry.mid)
         self.add(entry)
         self.comparison.placed(entry.mid, entry.replicas)
+        self.comparison.copied(node, entry.mid)
         self.figures["handed"] += 1
         self.write_message(entry, message, *then)
         self.audit(entry, "copies", self.country(self.zone))
--- a/opalwick/post/store/state.py
+++ b/opalwick/post/store/state.py
@@ -54,6 +54,10 @@
         """Bytes of a pending or dead message on the disk."""
         ...
 
+    def replicas_of(self, mid: str) -> tuple[str, ...]:
+        """Stores that have the message or its end; empty where it is unknown."""
+        ...
+
     def send_end(self, mid: str, nodes: Iterable[str]) -> None:
         """Sends how the message ended to these nodes."""
         ...
--- a/tests/test_post_replication.py
+++ b/tests/test_post_replication.py
@@ -21,6 +21,7 @@
     Ask,
     Differ,
     End,
+    Hand,
     Have,
     Hello,
     Holders,
@@ -175,6 +176,31 @@
     assert d.stores["d2"].ends["m"].placement == (("d3", "d1"), 2)
 
 
+@pytest.mark.parametrize("ended", [False, True])
+def test_a_copy_with_an_older_placement_is_checked_with_the_stores_that_it_lists(
+    ended: bool,
+) -> None:
+    """A store with a new disk got it from one that was to be removed and was out of date, after it had
+    compared with the others: it stayed, and the store could not be removed, until the next look in a minute.
+    """
+    d = StoreCluster("d1 d2 d3 d4")
+    d.keep("m", "d1", "d2")
+    newest = Holders(mid="m", holders=["d1", "d2"], placement=2)
+    for name in ("d1", "d2"):
+        d.receive(name, "c1", "holders", newest)
+    if ended:
+        d.end("m")
+        d.receive("d3", "d4", "end", End(mid="m", complete=True, holders=["d1", "d3"], placement=1))
+    else:
+        copy = Letter(mid="m", body=b"x", holders=["d1", "d3"], placement=1, due=60.0, until=90.0)
+        d.receive("d3", "d4", "hand", Hand(letters=[copy], answer=True, restored=True))
+    d.until(d.now + 0.5)
+    if ended:
+        assert d.stores["d3"].ends["m"].placement == (("d1", "d2"), 2)
+    else:
+        assert d.copies("m") == ["d1", "d2"]
+
+
 # ---- bulk has a window
 
 
