Stores: an end that a list leaves out is sent once it is synced

A further lost disk would have let callers see 404 for a message that has ended. Cause: an end that was not synced yet as a store with a new disk was sent the list of what it should have was in no list, up to the next comparison a minute later. Change: such an end is remembered with the stores, and sent once it is synced.

--- a/opalwick/post/store/comparison.py
+++ b/opalwick/post/store/comparison.py
@@ -60,6 +60,8 @@
         # by store that was away as a placement without it was adopted: the messages
         self.uninformed: dict[str, set[str]] = {}
         self.seen_before = set[str]()  # stores that were linked since the start of this process
+        # ends that were not on the disk as a list was sent: the stores that it was sent to
+        self.postponed: dict[str, set[str]] = {}
         self.received: dict[
             str, str
         ] = {}  # copies that have come since the last tick: the store that sent each
@@ -111,6 +113,8 @@
         store, part = self.store, self.parts[node].popleft()
         message = self.request(node, [mid for mid in part.pending if mid in store.entries])
         for mid in part.ended:
+            if mid in store.unsynced:
+                self.postponed.setdefault(mid, set()).add(node)
             self.list_end(message, mid)
         message.last = not self.parts[node]
         store.send(node, "have", message)
@@ -122,6 +126,11 @@
             message.ended.append(mid)
             message.ended_stamps.append(end.placement.stamp)
 
+    def synced(self, mid: str) -> None:
+        """An end is on the disk now."""
+        for node in sorted(self.postponed.pop(mid, set()) & self.store.peers.keys()):
+            self.provide(node, mid)
+
     def question(self, pending: list[str]) -> Have:
         """A message with these pending messages and a number of its own."""
         self.last_number += 1
--- a/opalwick/post/store/outcomes.py
+++ b/opalwick/post/store/outcomes.py
@@ -112,6 +112,7 @@
         for write in writes:
             if write.kind == "end":
                 self.unsynced.discard(write.fields[0])
+                self.comparison.synced(write.fields[0])
             elif write.kind == "seal":
                 self.seal.synced(write.fields)  # type: ignore[arg-type]
 
--- a/tests/test_post_replication.py
+++ b/tests/test_post_replication.py
@@ -9,7 +9,7 @@
 
 import post_stores
 import pytest
-from post_stores import COPIES, SYNC_S, StoreCluster
+from post_stores import COPIES, STATE_S, SYNC_S, StoreCluster
 from post_troubles import Troubles
 from test_post_roles import SETTINGS
 
@@ -352,6 +352,20 @@
     assert all(d.knows(mid) for mid in mids)
 
 
+def test_an_end_that_was_not_synced_as_the_list_was_made_is_sent_once_it_is() -> None:
+    """It was in no list, and the store with the new disk did not get it before the next comparison."""
+    store = MessageStore("d1", "a", 0.0, STATE_S)
+    store.loaded("m", ("d1", "d2"), 9.0, 90.0, 0, 0, 10)
+    store.end("c1", End(mid="m", complete=True, seal="s"))
+    store.depot_up("d2", "b", "new disk", 0.0)
+    writes, sends, _ = store.effects()
+    (first,) = [send.word for send in sends if send.kind == "have"]
+    assert not first.ended
+    store.synced(writes)
+    (end,) = [send.word for send in store.effects()[1] if (send.node, send.kind) == ("d2", "end")]
+    assert end.mid == "m" and end.complete
+
+
 def test_a_dead_message_keeps_full_replicas_of_its_bytes() -> None:
     d = StoreCluster("d1 d2 d3 d4")
     mids = d.keep_many(60, 1_000)
