Stores: the bytes of a dead message are asked for until they have come

Callers would have seen a dead message's body gone, though one disk was lost at a time. Cause: a store with a new disk learned an end from a store that had it without the bytes, and took the message for complete; the store that had the bytes was not asked, as another one had listed the message first. Later such an end was copied without bytes to the place of a removed store, which had the last ones. Change: whoever should have the bytes asks one linked store after the other, those of the placement first, until they are here; an end is not moved while its bytes are expected.

--- a/opalwick/post/store/message_store.py
+++ b/opalwick/post/store/message_store.py
@@ -15,6 +15,7 @@
 from opalwick.post.names import process_id
 from opalwick.post.store.assignment import Assignment
 from opalwick.post.store.comparison import REPLICATION, Comparison
+from opalwick.post.store.dead_bytes import DeadBytes
 from opalwick.post.store.rebalancing import Rebalancing
 from opalwick.post.store.reconciliation import Reconciliation
 from opalwick.post.store.records import Send, Write
@@ -48,6 +49,7 @@
         self.comparison = Comparison(self, self.transfers, copies)
         self.rebalancing = Rebalancing(self, self.transfers, copies, spread)
         self.reconciliation = Reconciliation(self)
+        self.dead_bytes = DeadBytes(self)
 
     def keep(self, node: str, msg: Keep) -> None:
         """Stores a message that the gateway accepted; confirmed with `kept` once it is on the disk."""
@@ -167,6 +169,7 @@
         lost = self.rebalancing.lost_stores()
         self.comparison.tick()
         self.check_learner(lost)
+        self.dead_bytes.tick()
         self.transfers.tick()
         while self.expiry and self.expiry[0][0] <= self.now:
             self.expire(heapq.heappop(self.expiry)[1])
--- a/opalwick/post/store/outcomes.py
+++ b/opalwick/post/store/outcomes.py
@@ -101,6 +101,8 @@
         if entry is not None and msg.placement <= entry.placement.version:
             placement = entry.placement
         self.add_end(mid, KnownEnd(complete, seal, until, placement))
+        if entry is None and not complete:
+            self.dead_bytes.lacking(mid)
         self.unsynced.add(mid)
         self.figures["ended"] += 1
         holders = " ".join(placement.replicas)
@@ -125,6 +127,7 @@
             del self.ends[mid]
             self.end_holders.remove(mid, end.replicas)
             self.stored_bytes -= self.dead_sizes.pop(mid, 0)
+            self.dead_bytes.arrived(mid)
             self.writes.append(Write("forget", (mid,)))
 
     def state(self, mid: str) -> Told:
--- a/opalwick/post/store/rebalancing.py
+++ b/opalwick/post/store/rebalancing.py
@@ -234,6 +234,8 @@
             end = store.ends[mid]
             if mid in self.end_moves or mid in store.unsynced or not store.is_acting(end):
                 continue
+            if store.expects_bytes(mid):
+                continue  # its stores may be replaced once the bytes are here to be copied
             # an end does not say whose message it was: if all replicas were in one country, it stays there
             countries = {self.country_of(node) for node in end.replicas}
             home = countries.pop() if len(countries) == 1 else ""
--- a/opalwick/post/store/replicas.py
+++ b/opalwick/post/store/replicas.py
@@ -33,18 +33,17 @@
         """The message's bytes on this disk are corrupted: this replica is lost, and requested again from the
         others.
         """
-        replicas = self.replicas_of(mid)
-        if (entry := self.entries.get(mid)) is not None:
+        entry = self.entries.get(mid)
+        if entry is not None:
             self.drop(entry)
+            for node in entry.replicas:
+                if node != self.node:
+                    self.comparison.missing[mid] = node
+                    self.send(node, "differ", Differ(lack=[mid]))
         elif mid in self.dead_sizes:
             self.stored_bytes -= self.dead_sizes.pop(mid)
             self.writes.append(Write("drop", (mid,)))
-        else:
-            return
-        for node in replicas:
-            if node != self.node:
-                self.comparison.missing[mid] = node
-                self.send(node, "differ", Differ(lack=[mid]))
+            self.dead_bytes.lacking(mid)
 
     def hand(self, node: str, msg: Hand) -> None:
         """Stores replicas that another store sends. Their owner goes on delivering: without an owner here,
--- a/opalwick/post/store/role.py
+++ b/opalwick/post/store/role.py
@@ -307,6 +307,6 @@
             "to_copy": store.transfers.waiting,
             "thin": sum(store.rebalancing.replica_counts(store.rebalancing.lost_stores()).values()),
             "surplus": len(store.comparison.surplus),
-            "missing": len(store.comparison.missing),
+            "missing": len(store.comparison.missing) + store.dead_bytes.count,
             "learner": store.comparison.learner,
         }
--- a/opalwick/post/store/state.py
+++ b/opalwick/post/store/state.py
@@ -58,6 +58,10 @@
         """Stores that have the message or its end; empty where it is unknown."""
         ...
 
+    def expects_bytes(self, mid: str) -> bool:
+        """Whether the bytes of a dead message are not here yet, and may still come from another store."""
+        ...
+
     def send_end(self, mid: str, nodes: Iterable[str]) -> None:
         """Sends how the message ended to these nodes."""
         ...
--- a/opalwick/post/store/status.py
+++ b/opalwick/post/store/status.py
@@ -39,7 +39,7 @@
         "thin": {str(left): count for left, count in sorted(counts.items())},
         "to_copy": store.transfers.waiting,
         "surplus": len(store.comparison.surplus),
-        "missing": len(store.comparison.missing),
+        "missing": len(store.comparison.missing) + store.dead_bytes.count,
         "learner": store.comparison.learner,
         "disk": role.disk,
         "settled": store.settled,
--- a/opalwick/post/store/store_base.py
+++ b/opalwick/post/store/store_base.py
@@ -14,6 +14,7 @@
 
 from opalwick.post.residency.policy import Policy
 from opalwick.post.store.comparison import Comparison
+from opalwick.post.store.dead_bytes import DeadBytes
 from opalwick.post.store.gateway import Gateway
 from opalwick.post.store.placement import HolderIndex, Placement
 from opalwick.post.store.rebalancing import Rebalancing
@@ -37,6 +38,7 @@
     comparison: Comparison
     rebalancing: Rebalancing
     reconciliation: Reconciliation
+    dead_bytes: DeadBytes
 
     def __init__(
         self,
@@ -138,11 +140,14 @@
     ) -> None:
         """Restores the record of an end."""
         self.add_end(mid, KnownEnd(complete, seal, until, Placement(replicas or (self.node,), version)))
+        if not complete:
+            self.dead_bytes.lacking(mid)
 
     def loaded_dead(self, mid: str, size: int) -> None:
         """Restores a dead message, which takes `size` bytes."""
         self.dead_sizes[mid] = size
         self.stored_bytes += size
+        self.dead_bytes.arrived(mid)
 
     def add(self, entry: Entry) -> None:
         self.entries[entry.mid] = entry
@@ -262,6 +267,10 @@
         known = self.entries.get(mid) or self.ends.get(mid)
         return known.replicas if known is not None else ()
 
+    def expects_bytes(self, mid: str) -> bool:
+        """Whether the bytes of a dead message are not here yet, and may still come from another store."""
+        return self.dead_bytes.expected(mid)
+
     def country(self, zone: str) -> str:
         return self.policy.country(zone) if self.policy is not None else ""
 
--- a/tests/test_post_replication.py
+++ b/tests/test_post_replication.py
@@ -395,6 +395,38 @@
     assert d.copies("m") == ["d1", "d2"] == d.ends("m")
 
 
+def test_a_dead_message_gets_its_bytes_though_an_end_without_them_came_first() -> None:
+    """The store with the new disk learned the end from one that had no bytes, and took it for complete."""
+    d = StoreCluster()
+    d.keep("m", "d2", "d3")
+    d.end("m", complete=False)
+    d.receive("d1", "c1", "end", End(mid="m", holders=["d2", "d3"]))
+    d.restart("d2", lose_disk=True)
+    d.until(d.now + SYNC_S)
+    assert d.copies("m") == ["d2", "d3"]
+
+
+def test_a_dead_message_is_not_moved_without_its_bytes() -> None:
+    """The store that acted for it had none yet: the last ones went with the store that was removed."""
+    store = MessageStore("d1", "a", 0.0, STATE_S)
+    for name, zone in (("d2", "b"), ("d3", "c")):
+        store.depot_up(name, zone, name, 100.0)
+        store.depot_pulse(name, Pulse(settled=True))
+    store.loaded_end("m", False, "", 90.0, ("d1", "d2"), 1)
+    store.settled = True
+    store.ordered((1, 1), {"d2"})
+    store.tick()
+    assert not store.rebalancing.end_moves
+    requests = [send for send in store.effects()[1] if send.kind == "differ"]
+    assert requests == [("d2", "differ", Differ(lack=["m"]))]
+    end = End(mid="m", holders=["d1", "d2"], placement=1)
+    store.hand("d2", Hand(letters=[Letter(mid="m", body=b"x")], answer=True, ends=[end]))
+    for now in (0.4, 0.8):
+        store.clock(now)
+        store.tick()
+    assert store.rebalancing.end_moves["m"].after.replicas == ("d1", "d3")
+
+
 def test_a_dead_message_whose_bytes_are_corrupted_gets_them_again() -> None:
     """Only a pending message was asked for again; the bytes of a dead one stayed on one disk."""
     d = StoreCluster()
@@ -449,7 +481,11 @@
         for mid in draw.sample(mids, 4):
             if mid not in ended and any(mid in store.entries for store in d.stores.values()):
                 ended.add(mid)
-                d.end(mid, draw.random() < 0.7)
+                complete = draw.random() < 0.7
+                d.end(mid, complete)
+                if draw.random() < 0.5:  # also to a store that may not have the message
+                    end = End(mid=mid, complete=complete, seal="s" * complete, holders=d.ends(mid))
+                    d.receive(draw.choice(sorted(d.stores)), "c1", "end", end)
         kind = troubles.play_one()
         for mid in mids:
             if any(mid in store.ends for store in d.stores.values()):  # some expire
