Stores: the copy of a move has the placement in force

Cause: a copy that is moved carried the placement that the move would end with. Its store acted by that while the old one was in force: the store that moved it was killed before it completed the move, or had assigned the message while the copy was on its way. Change: the copy carries the placement in force, which does not list its store: it does not assign the message, and drops it if the move is not completed. The new placement comes with who delivers the message (owner, claim in Holders), and a store that is named in a placement without having the message asks for it. A store of the version before gets copies as before. One older test looks after 10 ms in place of 100, as the replica is rightly deleted by then.

--- a/opalwick/post/store/comparison.py
+++ b/opalwick/post/store/comparison.py
@@ -25,6 +25,7 @@
 BATCH = 500  # message ids in one peer message
 # s between comparisons on a link that stays up, in case an answer was lost with an error of either process
 COMPARE_INTERVAL = 60.0
+HOLD = 3.0  # s for which the copy of a move that is not completed is kept
 SURPLUS_RETRY = 1.0  # s until the holders of a surplus replica are asked again
 # version of the peer messages between stores that this process has (`Hello.replication`); 0: no placements
 # with versions, and no answer that confirms
@@ -189,6 +190,13 @@
         self.missing[mid] = node
         reply.lack.append(mid)
 
+    def request_listed(self, node: str, mid: str) -> None:
+        """Another store names a placement with this store, which has nothing of the message."""
+        reply = Differ()
+        self.report_missing(reply, node, mid)
+        if reply.lack:
+            self.store.send(node, "differ", reply)
+
     def arrived(self, mid: str) -> None:
         """The message or its end is here now."""
         self.missing.pop(mid, None)
@@ -280,6 +288,11 @@
             self.surplus.setdefault(mid, set())
             self.surplus_asked_at.setdefault(mid, -SURPLUS_RETRY)
 
+    def hold(self, mid: str) -> None:
+        """The copy is part of a move: until that is completed, the placement in force does not list it."""
+        if mid in self.surplus:
+            self.surplus_asked_at[mid] = self.store.now + HOLD - SURPLUS_RETRY
+
     def forget(self, mid: str) -> None:
         """The replica is not surplus, or no longer here."""
         self.surplus.pop(mid, None)
--- a/opalwick/post/store/rebalancing.py
+++ b/opalwick/post/store/rebalancing.py
@@ -18,10 +18,11 @@
 from opalwick.post.store.records import Entry, KnownEnd
 from opalwick.post.store.state import StoreState
 from opalwick.post.store.transfers import Transfers
+from opalwick.post.wire_pb2 import Holders
 
 MAX_MOVES = 256  # messages in transfer at once; their bytes are bounded by the window of each store
 MAX_END_MOVES = 512  # ends in transfer at once, of some hundred bytes each
-MOVE_RETRY = 6.0  # s until an unconfirmed move is planned anew: over the timeout of its copies
+MOVE_TIMEOUT = 6.0  # s until an unconfirmed move is planned anew: over the timeout of its copies
 REFUSAL_PAUSE = 2.0  # s for which a store that has refused a replica is chosen for no other
 # s that a store is away until its replicas are restored elsewhere: over twice its slowest restart
 REPAIR_AFTER = 8.0
@@ -188,7 +189,7 @@
             return
         self.next_scan = store.now + SCAN_INTERVAL
         for moves in (self.moves, self.end_moves):
-            for mid in [mid for mid, move in moves.items() if store.now - move.since > MOVE_RETRY]:
+            for mid in [mid for mid, move in moves.items() if store.now - move.since > MOVE_TIMEOUT]:
                 del moves[mid]
         self.start_moves(lost)
         self.start_end_moves(lost)
@@ -285,17 +286,18 @@
     def complete(self, entry: Entry, after: Placement) -> None:
         """Sends the new placement to all stores that are or were in it, and to the owner."""
         msg = holders_message(entry.mid, after)
+        msg.owner, msg.claim = entry.owner, entry.claim
         if entry.owner:
             self.store.send(entry.owner.rpartition("/")[0], "holders", msg)
-        self.announce(entry.mid, entry.placement, after)
+        self.announce(msg, entry.placement, after)
         self.figures["moved" if self.store.node not in after.replicas else "repaired"] += 1
 
-    def announce(self, mid: str, before: Placement, after: Placement) -> None:
-        """Adopts a placement and sends it to the other stores that it concerns."""
+    def announce(self, msg: Holders, before: Placement, after: Placement) -> None:
+        """Adopts a placement and sends it to the other stores that it concerns. `msg`: the same."""
         for node in dict.fromkeys((*before.replicas, *after.replicas)):
             if node != self.store.node:
-                self.store.send(node, "holders", holders_message(mid, after))
-        self.store.place(mid, after)
+                self.store.send(node, "holders", msg)
+        self.store.place(msg.mid, after)
 
     def ended(self, node: str, mid: str) -> None:
         """A store has confirmed an end, with the bytes of a dead message."""
@@ -314,7 +316,7 @@
             self.next_scan = self.store.now
 
     def complete_end(self, mid: str, end: KnownEnd, after: Placement) -> None:
-        self.announce(mid, end.placement, after)
+        self.announce(holders_message(mid, after), end.placement, after)
         self.figures["ends_repaired"] += 1
 
     # ---- reports
--- a/opalwick/post/store/replicas.py
+++ b/opalwick/post/store/replicas.py
@@ -28,6 +28,18 @@
             # the sender's version numbers no placements: whatever it names is taken as a change
             placement = entry.placement.changed_to(placement.replicas)
         self.comparison.learn_placement(node, msg.mid, placement)
+        if entry is not None:
+            self.learn_owner(entry, msg.owner, msg.claim)
+        elif msg.mid not in self.ends and node in self.peers and self.node in placement.replicas:
+            self.comparison.request_listed(node, msg.mid)
+
+    def learn_owner(self, entry: Entry, owner: str, claim: int) -> None:
+        """Another store names the gateway that delivers a message; empty: none. Without an owner here, the
+        message would be assigned a second time once this store acts for it.
+        """
+        if owner and not entry.owner and claim >= entry.claim:
+            entry.claim = claim
+            self.set_owner(entry, owner)
 
     def rotten(self, mid: str) -> None:
         """The message's bytes on this disk are corrupted: this replica is lost, and requested again from the
@@ -46,9 +58,7 @@
             self.dead_bytes.lacking(mid)
 
     def hand(self, node: str, msg: Hand) -> None:
-        """Stores replicas that another store sends. Their owner goes on delivering: without an owner here,
-        the message would be assigned a second time once this store acts for it.
-        """
+        """Stores replicas that another store sends. Their owner goes on delivering."""
         for end in msg.ends:
             self.learn_end(node, end)
         for message, process in zip(msg.letters, [*msg.owners, *[""] * len(msg.letters)]):
@@ -61,6 +71,8 @@
                 self.send(node, "kept", Kept(mid=message.mid, refused=True))
             elif self.seal.written is None:  # a sealed disk takes no replicas
                 self.hand_new(node, message, process, confirmation)
+                if not msg.restored:
+                    self.comparison.hold(message.mid)
 
     def has_room(self, message: Letter) -> bool:
         return self.stored_bytes + message.ByteSize() <= self.room
@@ -81,9 +93,7 @@
         """A copy of a message that is here already: its placement and owner may be news."""
         if message.holders:
             self.holders(node, Holders(mid=known.mid, holders=message.holders, placement=message.placement))
-        if process and message.claim >= known.claim and not known.owner:
-            known.claim = message.claim
-            self.set_owner(known, process)
+        self.learn_owner(known, process, message.claim)
         self.writes.append(Write("none", (), then))
 
     def hand_new(
@@ -119,8 +129,8 @@
         message.due, message.until = max(0.0, entry.due - self.now), max(0.0, entry.until - self.now)
         message.fails, message.lost, message.claim = entry.fails, entry.lost, entry.claim
         placement = entry.placement
-        if kind == "move":
-            placement = Placement(*why[2:])
+        if kind == "move" and not self.protocols.get(target):
+            placement = Placement(*why[2:])  # a store of the version before takes it for final
         del message.holders[:]
         message.holders.extend(placement.replicas)
         message.placement = placement.version
--- a/tests/test_post_replication.py
+++ b/tests/test_post_replication.py
@@ -112,38 +112,45 @@
     """Neither was in the placement that the other one had made, so they compared nothing, and two sets of
     replicas went on side by side.
     """
-    d = StoreCluster("d1 d2 d3 d4")
-    for n in range(40):
-        d.keep(f"m{n}", "d1", "d2")
-    d.start("d5")
-    d.unlink("d1", "d2")
-    d.until(d.now + 3.0)
-    sets = {d.stores[name].entries["m0"].replicas for name in ("d1", "d2")}
-    assert len(sets) == 2
-    d.link("d1", "d2")
+    d = cluster_with_two_placements(40)
+    for one, other in CUT:
+        d.link(one, other)
     d.until(d.now + SYNC_S)
     assert_one_placement(d, 40)
 
 
-def test_placements_made_during_a_cut_become_one_again_though_both_stores_were_restarted() -> None:
+def test_placements_made_during_a_cut_become_one_again_though_all_stores_were_restarted() -> None:
     """What each had to tell the other was known to the processes of before only, and neither was in the
     placement of the other: both replica sets stayed, and each had its message delivered.
     """
-    d = StoreCluster("d1 d2 d3 d4")
-    for n in range(40):
-        d.keep(f"m{n}", "d1", "d2")
-    d.start("d5")
-    d.unlink("d1", "d2")
-    d.until(d.now + 3.0)
-    assert any(len(d.copies(f"m{n}")) == 2 * COPIES for n in range(40))
-    for name in ("d1", "d2"):
+    d = cluster_with_two_placements(40)
+    names = list(d.stores)
+    for name in names:
         d.kill(name)
-    for name in ("d1", "d2"):
+    for name in names:
         d.start(name)
     d.until(d.now + SYNC_S)
     assert_one_placement(d, 40)
 
 
+CUT = [(one, other) for one in ("d1", "d4") for other in ("d2", "d3", "d5")]
+
+
+def cluster_with_two_placements(count: int) -> StoreCluster:
+    """Stores whose links of `CUT` are closed, and messages of which each side has its own placement."""
+    d = StoreCluster("d1 d2 d3 d4")
+    for n in range(count):
+        d.keep(f"m{n}", "d1", "d2")
+    d.start("d5")
+    for one, other in CUT:
+        d.unlink(one, other)
+    d.until(d.now + 9.0)
+    for n in range(count):
+        assert len({d.stores[name].entries[f"m{n}"].replicas for name in ("d1", "d2")}) == 2
+        assert len(d.copies(f"m{n}")) == 2 * COPIES
+    return d
+
+
 def assert_one_placement(d: StoreCluster, count: int) -> None:
     """Each message has its full replicas, and all of them name the same stores."""
     for n in range(count):
@@ -169,7 +176,7 @@
         d.end("m")
     learned = Holders(mid="m", holders=newer, placement=2)
     d.receive("d1", "d3", "differ", Differ(holders=[learned]))
-    d.until(d.now + 0.1)
+    d.until(d.now + 0.01)
     known = d.stores["d2"].ends["m"] if ended else d.stores["d2"].entries["m"]
     assert known.placement == (newer, 2)
 
@@ -208,6 +215,68 @@
         assert d.copies("m") == ["d1", "d2"]
 
 
+def test_a_copy_of_a_move_that_was_not_completed_is_neither_delivered_nor_kept() -> None:
+    """The store that moved it was killed before it named the new placement; the copy already had that, so its
+    store had the message delivered beside the one that was left of the placement in force.
+    """
+    d = StoreCluster("d1 d2 d3 d4")
+    d.keep("m", "d1", "d2", due=2.0)
+    d.retire("d2")
+    while not (moved := [name for name in ("d3", "d4") if "m" in d.stores[name].entries]):
+        d.until(d.now + 0.001)
+    d.kill("d1")
+    assert d.stores[moved[0]].entries["m"].replicas == ("d1", "d2")
+    d.until(d.now + 4.0)
+    assert sum(store.figures["assigned"] > 0 for store in d.stores.values()) == 1
+    d.start("d1")
+    d.until(d.now + SYNC_S)
+    assert len(d.copies("m")) == COPIES
+
+
+def test_the_new_stores_of_a_message_learn_who_delivers_it_with_the_placement() -> None:
+    """It was assigned while its copy was on the way; the new store, which acted for it next, assigned it
+    again.
+    """
+    source, target = MessageStore("d2", "b", 0.0, STATE_S), MessageStore("d3", "c", 0.0, STATE_S)
+    for store, peer in ((source, "d3"), (target, "d2")):
+        store.depot_up(peer, "a", peer, 100.0)
+        store.depot_pulse(peer, Pulse(settled=True))
+        store.counter_up("c1", 1, "a")
+        store.counter_pulse("c1", Pulse(ready=True))
+    source.loaded("m", ("d1", "d2"), 0.1, 90.0, 0, 0, 10)
+    source.settled = True
+    source.ordered((1, 1), {"d2"})
+    source.tick()
+    for fetch in source.effects()[2]:
+        source.fetched(fetch.mid, fetch.why, Letter(mid="m", body=b"x"))
+    deliver(source, target, "hand")
+    assert target.entries["m"].owner == ""
+    source.clock(0.1)
+    source.tick()
+    assert source.entries["m"].owner == "c1/1"
+    source.rebalancing.kept("d3", "m", False)
+    deliver(source, target, "holders")
+    assert target.entries["m"].replicas == ("d3",)
+    assert (target.entries["m"].owner, target.entries["m"].claim) == ("c1/1", 1)
+
+
+def test_a_store_that_is_named_in_a_placement_without_having_the_message_asks_for_it() -> None:
+    """Its copy was dropped before the move was completed, and it did not get another one."""
+    d = StoreCluster()
+    d.keep("m", "d1")
+    d.receive("d1", "c1", "holders", Holders(mid="m", holders=["d1", "d2"], placement=1))
+    d.receive("d2", "d1", "holders", Holders(mid="m", holders=["d1", "d2"], placement=1))
+    d.until(d.now + 0.1)
+    assert d.copies("m") == ["d1", "d2"]
+
+
+def deliver(source: MessageStore, target: MessageStore, kind: str) -> None:
+    """Passes on what a store sends to another one of that kind."""
+    for send in source.effects()[1]:
+        if (send.node, send.kind) == (target.node, kind):
+            getattr(target, kind)(source.node, send.word)
+
+
 # ---- bulk has a window
 
 
