Stores: order of imports, names of modules in docstrings

Cause: two imports out of order, and docstrings that named a module of before. Change: only these; no behaviour. Measured: linter, formatter and mypy clean.

--- a/opalwick/post/store/comparison.py
+++ b/opalwick/post/store/comparison.py
@@ -17,8 +17,8 @@
 from typing import NamedTuple
 
 from opalwick.post.store.placement import Placement
-from opalwick.post.store.state import StoreState
 from opalwick.post.store.records import Write
+from opalwick.post.store.state import StoreState
 from opalwick.post.store.transfers import Transfers
 from opalwick.post.wire_pb2 import Differ, End, Have, Holders
 
--- a/opalwick/post/store/outcomes.py
+++ b/opalwick/post/store/outcomes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import Any
 
 from opalwick.post.message_state import MessageState
 from opalwick.post.names import process_id
@@ -10,7 +11,6 @@
 from opalwick.post.store.placement import Placement
 from opalwick.post.store.records import KnownEnd, Write
 from opalwick.post.store.store_base import StoreBase
-from typing import Any
 from opalwick.post.wire_pb2 import End, Ended, Told
 
 
--- a/opalwick/post/store/role.py
+++ b/opalwick/post/store/role.py
@@ -1,5 +1,5 @@
-"""The role of a store: passes received peer messages to `keeping.py`, and its effects to the disk and the
-links.
+"""The role of a store: passes received peer messages to `message_store.py`, and its effects to the disk
+and the links.
 
 The shell takes `batch()` to the disk in one transaction, one batch at a time, and returns what was found with
 `synced()`; only then are the peer messages sent that depend on it.
--- a/opalwick/post/store/seal.py
+++ b/opalwick/post/store/seal.py
@@ -1,4 +1,4 @@
-"""Whether a store rejects all new messages for good. No I/O; part of `keeping.py`.
+"""Whether a store rejects all new messages for good. No I/O; part of `message_store.py`.
 
 A store that is to be removed rejects new messages as soon as it receives that configuration. Once nothing is
 left there, it writes a seal to its disk and only then reports that it is empty. So after the operator was
