--- a/review/rig_2/rig.py
+++ b/review/rig_2/rig.py
@@ -345,6 +345,7 @@
 
     def __init__(self) -> None:
         self.name, self.dark, self.passed = "", False, 0
+        self.task: asyncio.Task[None] | None = None
 
 
 class Proxy:
@@ -380,6 +381,7 @@
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         onward, way = None, Way()
+        way.task = asyncio.current_task()  # else nothing refers to it while it waits
         self.ways.append(way)
         try:
             # whoever connects names itself in its first message
