--- a/review/rig_2/rig.py
+++ b/review/rig_2/rig.py
@@ -677,7 +677,7 @@
 
 def play(folder: Path, case: Callable[[Record, bool], Awaitable[bool]]) -> None:
     """Plays a case; it returns whether the rule held. Exits with 0, 1 or 2. TROUBLE=0: no disruption."""
-    path = Path(os.environ.get("RECORD") or folder / "record.txt")
+    path = Path(sys.argv[1]) if len(sys.argv) > 1 else folder / "record.txt"
     record, trouble = Record(path), os.environ.get("TROUBLE", "1") != "0"
     record.say(f"trouble: {'yes' if trouble else 'no'}")
 
