Links belong to one process of their peer; a copy that is not confirmed is owed

Cause: the state of a conversation between two stores ended with the last link to the node's name. A machine that loses power tells nobody, and its next process connects before the old link closes: nothing took down what was in flight to the earlier process. The window was full for 5 s, then these copies were forgotten for up to 60 s.

Change: the hello of another process of a node ends the links of the known one, read out first, down before up, in all roles. A lower incarnation number counts once the process has echoed a heartbeat sent after its hello. Questions between stores have numbers that contain the incarnation, and a timeout. The lab's network loses power without FIN or RST; fault power_again.

Why this works in any order: nothing of an earlier process's conversation is left when the later one's begins, whichever of the two is seen first, and what is not confirmed is found from state in this process.

--- a/opalwick/lab/post/faults.py
+++ b/opalwick/lab/post/faults.py
@@ -21,6 +21,8 @@
 from opalwick.lab.post.world import World
 
 Make = Callable[["Scene", Fault, random.Random], Steps]
+REFILL_LOOK = 0.01  # s between looks at the disk of a store that is refilled
+LONGEST_REFILL = 1.5  # s after its return that a store without replicas loses power again
 STEPS: dict[str, Make] = {}
 Pair = tuple[str, str]
 
@@ -202,6 +204,49 @@
     yield
 
 
+@fault
+def power_again(scene: Scene, fault: Fault, draw: random.Random) -> Steps:
+    targets = [m for m in scene.machines(fault, draw) if m.role == "depot"]
+    draw.shuffle(targets)
+    for machine in scene.tolerated(targets[:1], True):
+        scene.wiped[machine.node] = 1e9
+        Relapse(scene, machine, _size(fault), draw).begin(fault.kind)
+    yield
+
+
+class Relapse:
+    """A store that loses power a second time while the others refill its disk."""
+
+    def __init__(self, scene: Scene, machine: Machine, size: float, draw: random.Random) -> None:
+        """`size`: s of each of its absences."""
+        self.scene, self.machine, self.size, self.draw = scene, machine, max(0.05, size), draw
+        self.end_fault: Callable[[], None] = lambda: None
+        self.latest = 0.0  # s: the second loss comes by then, refilled or not
+
+    def begin(self, kind: str) -> None:
+        self.end_fault = self.scene.record_fault(kind, [self.machine])
+        self.machine.down(True, True)
+        self.latest = self.scene.agenda.now + self.size + LONGEST_REFILL
+        self.scene.agenda.after(self.size, self.machine.back)
+        self.scene.agenda.after(self.size, self.wait)
+
+    def wait(self) -> None:
+        """Until the first replicas are on the new disk: more are on their way by then."""
+        (rows,) = self.machine.disk.db.execute("select count(*) from letters").fetchone()
+        if rows or self.scene.agenda.now >= self.latest:
+            self.scene.agenda.after(REFILL_LOOK * self.draw.random(), self.again)
+        else:
+            self.scene.agenda.after(REFILL_LOOK, self.wait)
+
+    def again(self) -> None:
+        self.machine.down(True)
+        self.scene.agenda.after(self.size, self.back)
+
+    def back(self) -> None:
+        self.machine.back()
+        self.end_fault()
+
+
 @fault
 def joined(scene: Scene, fault: Fault, draw: random.Random) -> Steps:
     [role] = [name for name in fault.of if name in ROLES] or ["depot"]
--- a/opalwick/lab/post/kinds.py
+++ b/opalwick/lab/post/kinds.py
@@ -22,6 +22,12 @@
     "kill": Kind("processes are killed and restart after SIZE seconds", 0.6, (0.2, 3.5)),
     "power": Kind("machines lose power and are back after SIZE seconds", 1.5, (0.5, 4.0)),
     "wipe": Kind("machines lose power and their disks, and are back after SIZE seconds", 1.0, (0.3, 3.0)),
+    "power_again": Kind(
+        "a store loses power and its disk, is back after SIZE seconds, and loses power once more while it is"
+        " refilled",
+        1.0,
+        (0.5, 2.8),
+    ),
     "term": Kind("processes get SIGTERM one after the other, SIZE seconds apart", 1.0, (0.3, 2.0)),
     "joined": Kind("a machine is added permanently; `of`: its role, else a depot", 1.0, (1.0, 1.0)),
     "replaced": Kind(
--- a/opalwick/lab/post/net.py
+++ b/opalwick/lab/post/net.py
@@ -1,7 +1,9 @@
 """Simulated network: latency, partitions and resets of links, in the manner of TCP between kernels.
 
 Data that a process has sent is in its kernel: it survives a kill of the process, while a machine that loses
-power loses what a partition holds back. Data for a paused process waits for it in order.
+power loses what a partition holds back. Data for a paused process waits for it in order. A machine that loses
+power tells nobody: the other side of its connections retransmits until it gives up, or until a machine that
+is back answers with a reset.
 """
 
 from __future__ import annotations
@@ -192,15 +194,30 @@
     def arrive(self, batch: list[tuple[str, bytes]] | None) -> None:
         if self.held or not self.net.open(self.near, self.far):  # lost in transit, to be retransmitted
             self.hold(batch)
+        elif not self.other.proc.machine.power:
+            self.hold_for_power(batch)
+        else:
+            self.other.receive(batch)
+
+    def hold_for_power(self, batch: list[tuple[str, bytes]] | None) -> None:
+        """Nothing acknowledges the batch: the kernel retransmits, and sends nothing more before that."""
+        held_at = self.held_at = self.net.agenda.now
+        self.held.append(batch)
+        self.net.agenda.after(SILENT, self.timeout, held_at)
+        self.net.agenda.after(RETRANSMIT, self.retransmit, held_at, RETRANSMIT)
+
+    def retransmit(self, held_at: float, pause: float) -> None:
+        """`pause`: s since the last transmission."""
+        if not self.held or self.held_at != held_at:
             return
-        self.other.receive(batch)
+        if self.other.proc.machine.power:
+            self.release()
+        else:
+            self.net.agenda.after(2.0 * pause, self.retransmit, held_at, 2.0 * pause)
 
     # ---- receiving side
 
     def receive(self, batch: list[tuple[str, bytes]] | None) -> None:
-        machine = self.proc.machine
-        if not machine.power:
-            return
         if self.over or not self.proc.alive:
             if batch is not END:  # no process has the connection: a reset is sent
                 self.transmit(END)
@@ -252,6 +269,11 @@
 
     # ---- closing
 
+    def finish(self) -> None:
+        """As `Link.finish`: handles what was received, and closes."""
+        self.read()
+        self.close()
+
     def close(self) -> None:
         if not self.over:
             self.drop()
--- a/opalwick/lab/verify/depots.py
+++ b/opalwick/lab/verify/depots.py
@@ -88,6 +88,9 @@
     def send(self, kind: str, message: Any) -> None:
         self.out.append((self.peer.node, self.number, encode(kind, message)))
 
+    def finish(self) -> None:
+        """Nothing is left to read: the model delivers the end of a link in order with its messages."""
+
 
 class Client:
     """A client's call: records the status of its answer."""
--- a/opalwick/lab/verify/leases.py
+++ b/opalwick/lab/verify/leases.py
@@ -58,6 +58,9 @@
     def send(self, kind: str, message: Any) -> None:
         self.out.append(encode(kind, message))
 
+    def finish(self) -> None:
+        """Nothing is left to read: the model delivers the end of a link in order with its messages."""
+
 
 class Voter(Controller):
     """A controller reduced to its lease table; requests are handled by the production code of the role."""
--- a/opalwick/lab/verify/notices.py
+++ b/opalwick/lab/verify/notices.py
@@ -49,6 +49,9 @@
         if kind in ("news", "spread", "known"):
             self.model.queues.setdefault((self.sender, self.peer.node), []).append((kind, message))
 
+    def finish(self) -> None:
+        """Nothing is left to read: the model delivers the end of a link in order with its messages."""
+
 
 class WorkerCall:
     """A worker's HTTP call and the status of its answer."""
--- a/opalwick/lab/verify/offices.py
+++ b/opalwick/lab/verify/offices.py
@@ -92,6 +92,9 @@
     def send(self, kind: str, message: Any) -> None:
         self.controller.enqueue(self.peer.ip, kind, message)
 
+    def finish(self) -> None:
+        """Nothing is left to read: the model delivers the end of a link in order with its messages."""
+
 
 class ControllerUnderTest(Controller):
     """A controller reduced to its views; receiving, saving and publishing are the role's production code."""
--- a/opalwick/post/base_role.py
+++ b/opalwick/post/base_role.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from opalwick.post import events
@@ -27,6 +28,17 @@
     def send(self, kind: str, message: Any) -> None:
         """Queues a message of that kind; never blocks."""
 
+    def finish(self) -> None:
+        """Passes on to the role what has been received already, and closes the link."""
+
+
+@dataclass(slots=True)
+class UnprovenLink:
+    """A link of a process whose incarnation number is lower than that of the node's known process."""
+
+    since: float  # s, this process's clock: when its hello was received
+    messages: list[tuple[str, Any]] = field(default_factory=list)  # received meanwhile: kind, message
+
 
 class RoleBase:
     """A role without its logic: links, the directory and heartbeats. Roles override the hooks."""
@@ -42,7 +54,9 @@
             settings.ip,
             settings.ports[0],
         )
-        self.links: dict[str, list[Link]] = {}  # by node
+        self.links: dict[str, list[Link]] = {}  # by node; all of them to the same process of it
+        self.processes: dict[str, int] = {}  # by node: incarnation of its latest known process
+        self.unproven_links: dict[Link, UnprovenLink] = {}
         self.wanted: dict[Address, None] = {}  # addresses to which links are maintained
         self.cross_zone_bytes: dict[str, int] = {}  # bytes sent to other zones, by kind of message
         self.echoes: dict[tuple[str, int], float] = {}  # by process: the newest of its timestamps received
@@ -70,11 +84,44 @@
         return Pulse()
 
     def add_link(self, link: Link) -> None:
-        """A link is up and its peer has identified itself."""
-        self.links.setdefault(link.peer.node, []).append(link)
+        """A link is up and its peer has identified itself.
+
+        A node runs one process at a time, and what was agreed with one of them means nothing to the next. So
+        a link of a later process ends the links of the earlier one before it counts as up itself. A process
+        with a lower incarnation number is taken for the later one only once it has proven to be alive: that
+        may also be a late link of a process that has ended.
+        """
+        if link.peer.life >= self.processes.get(link.peer.node, 0):
+            self.bring_up(link)
+            return
+        self.unproven_links[link] = UnprovenLink(self.now)
+        link.send("pulse", self.heartbeat(link))
+
+    def bring_up(self, link: Link) -> None:
+        """The link counts as up; if it is of another process than before, the earlier one has ended."""
+        node, incarnation = link.peer.node, link.peer.life
+        if self.processes.get(node, incarnation) != incarnation:
+            self.end_process(node)
+        self.processes[node] = incarnation
+        self.links.setdefault(node, []).append(link)
         self.on_link_up(link)
         link.send("pulse", self.heartbeat(link))
 
+    def end_process(self, node: str) -> None:
+        """The known process of that node has ended: so do its links, once what they have brought is handled,
+        and with them all that was agreed with it.
+        """
+        incarnation, open_links = self.processes[node], list(self.links.get(node, ()))
+        for link in open_links:
+            link.finish()
+        if open_links:
+            self.settle()  # what follows from these messages is not meant for the next process
+        for link in open_links:
+            self.remove_link(link)
+        self.echoes.pop((node, incarnation), None)
+        self.on_process_ended(node)
+        self.event(908, peer=node, life=incarnation, links=len(open_links))
+
     def needs_few_heartbeats(self, link: Link) -> bool:
         """Whether infrequent heartbeats suffice on that link: those of gateways to controllers and to other
         gateways.
@@ -94,11 +141,30 @@
         if kind == "pulse":
             process = link.peer.node, link.peer.life
             self.echoes[process] = max(self.echoes.get(process, 0.0), message.at)
-        self.handle(link, kind, message)
+        if (unproven := self.unproven_links.get(link)) is not None:
+            self.receive_unproven(link, unproven, kind, message)
+        else:
+            self.handle(link, kind, message)
+
+    def receive_unproven(self, link: Link, unproven: UnprovenLink, kind: str, message: Any) -> None:
+        """Holds messages back until the peer has proven that it lives. An echo of what was sent to it after
+        the hello of the other process had come is a proof: the other one had ended by then, or the peer
+        could not be alive.
+        """
+        unproven.messages.append((kind, message))
+        if kind != "pulse" or message.echo < unproven.since:
+            return
+        del self.unproven_links[link]
+        self.bring_up(link)
+        for held_kind, held_message in unproven.messages:
+            self.handle(link, held_kind, held_message)
 
     def remove_link(self, link: Link) -> None:
         """A link is closed."""
-        if link in (open_links := self.links.get(link.peer.node, [])):
+        if (unproven := self.unproven_links.pop(link, None)) is not None:
+            for kind, message in unproven.messages:
+                self.handle_late(link, kind, message)
+        elif link in (open_links := self.links.get(link.peer.node, [])):
             open_links.remove(link)
             if not open_links:
                 del self.links[link.peer.node]
@@ -110,6 +176,12 @@
 
     def on_link_down(self, link: Link) -> None: ...
 
+    def on_process_ended(self, node: str) -> None:
+        """Hook: a later process of that node has connected; no link to the earlier one is left."""
+
+    def handle_late(self, link: Link, kind: str, message: Any) -> None:
+        """Hook: a message of a process that has ended, whose link came after one of a later process."""
+
     def handle(self, link: Link, kind: str, message: Any) -> None:
         """Hook: a message was received."""
         if kind == "news" and link.peer.role == "office":
--- a/opalwick/post/controller/maintenance_window.py
+++ b/opalwick/post/controller/maintenance_window.py
@@ -89,6 +89,11 @@
         elif role == "counter" and message.seq:
             self.gateway_reports[node] = GatewayReport(self.controller.now, message)
 
+    def process_ended(self, node: str) -> None:
+        """A later process of a gateway or store has connected: it has reported nothing yet."""
+        self.settled.pop(node, None)
+        self.gateway_reports.pop(node, None)
+
     def published(self, conf: Conf) -> None:
         """Handles a configuration that came into force while this controller is the primary."""
         body = conf.window.state
--- a/opalwick/post/controller/role.py
+++ b/opalwick/post/controller/role.py
@@ -175,6 +175,11 @@
         if link.peer.role == "office" and self.controller_link(link.peer.ip) is None:
             self.views.linked.discard(link.peer.ip)
             self.views.shutting_down.discard(link.peer.ip)
+            self.views.without_primary.discard(link.peer.ip)
+
+    def on_process_ended(self, node: str) -> None:
+        self.empty.pop(node, None)
+        self.window.process_ended(node)
 
     def handle(self, link: Link, kind: str, message: Any) -> None:
         v = self.views
--- a/opalwick/post/gateway/role.py
+++ b/opalwick/post/gateway/role.py
@@ -223,6 +223,12 @@
             elif link.peer.role == "office":
                 self.ceilings.office_down(link.peer.node)
 
+    def on_process_ended(self, node: str) -> None:
+        """The next process of a store has received no heartbeat yet, and has confirmed no owner."""
+        self.confirmed_receipt.pop(node, None)
+        self.confirmed_owners.discard(node)
+        self.outdated.discard(node)
+
     def handle(self, link: Link, kind: str, content: Any) -> None:
         node = link.peer.node
         match kind:
--- a/opalwick/post/link.py
+++ b/opalwick/post/link.py
@@ -38,6 +38,7 @@
 FIGURES = 10.0  # s between log events with figures
 MAX_QUEUED = 16 << 20  # bytes queued on a link: some seconds of a machine's total traffic
 MAX_MESSAGE_SIZE = 8 << 20  # bytes of one message: well above the largest body
+READ_SIZE = 65536  # bytes read from a socket at once
 _HEAD = struct.Struct("!I")
 
 
@@ -55,6 +56,7 @@
         self.closed, self.unsettled = False, 0
         self.queued_bytes = 0
         self.output: list[bytes] = []
+        self.input = bytearray()  # received, and not a complete message yet
         self.has_output = Event()
         self.last_received = time.monotonic()
 
@@ -86,26 +88,11 @@
 
     def read(self) -> None:
         """Passes received messages to the role, one by one, until the link is closed."""
-        buffer = bytearray()
         try:
             while not self.closed:
-                data = self.sock.recv(65536)
-                if not data:
+                data = self.sock.recv(READ_SIZE)
+                if not data or not self.feed(data):
                     return
-                buffer += data
-                self.last_received = time.monotonic()
-                self.role.clock(self.last_received)
-                at = 0
-                while len(buffer) - at >= 4:
-                    size = _HEAD.unpack_from(buffer, at)[0]
-                    if size > MAX_MESSAGE_SIZE:
-                        return
-                    if len(buffer) - at - 4 < size:
-                        break
-                    self.receive(bytes(memoryview(buffer)[at + 4 : at + 4 + size]))
-                    at += 4 + size
-                if at:
-                    del buffer[:at]
                 if self.unsettled:  # after heartbeats alone the next tick is soon enough
                     self.unsettled = 0
                     self.shell.settle()
@@ -114,6 +101,36 @@
         finally:
             self.close()
 
+    def feed(self, data: bytes) -> bool:
+        """Handles the messages that are complete with this data. Returns false if it is no valid stream."""
+        buffer = self.input
+        buffer += data
+        self.last_received = time.monotonic()
+        self.role.clock(self.last_received)
+        at = 0
+        while len(buffer) - at >= _HEAD.size and not self.closed:
+            size = _HEAD.unpack_from(buffer, at)[0]
+            if size > MAX_MESSAGE_SIZE:
+                return False
+            begin = at + _HEAD.size
+            if len(buffer) - begin < size:
+                break
+            at = begin + size
+            self.receive(bytes(memoryview(buffer)[begin:at]))
+        if at:
+            del buffer[:at]
+        return True
+
+    def finish(self) -> None:
+        """Handles what has been received already, and closes the link: its peer's process has ended."""
+        try:
+            self.sock.settimeout(0.0)
+            while not self.closed and (data := self.sock.recv(READ_SIZE)) and self.feed(data):
+                pass
+        except OSError:
+            pass
+        self.close()
+
     def receive(self, data: bytes) -> None:
         """Handles one message."""
         try:
--- a/opalwick/post/store/comparison.py
+++ b/opalwick/post/store/comparison.py
@@ -17,6 +17,7 @@
 from typing import NamedTuple
 
 from opalwick.post.store.placement import Placement
+from opalwick.post.store.questions import Kind, Questions
 from opalwick.post.store.records import Write
 from opalwick.post.store.state import StoreState
 from opalwick.post.store.transfers import Transfers
@@ -47,16 +48,12 @@
         self.awaited = set[str]()  # stores that have not answered all parts of the comparison
         self.parts: dict[str, deque[Part]] = {}
         self.compared_at: dict[str, float] = {}
-        self.requests: dict[
-            tuple[str, int], list[str]
-        ] = {}  # by store and number: pending messages asked for
-        self.last_number = 0
+        self.questions = Questions(store)
         self.listed_by = set[str]()  # linked stores that have sent the whole list of what should be here
         self.missing: dict[
             str, str
         ] = {}  # messages that should be here and are not: the store that lists each
         self.doubtful: dict[str, None] = {}  # messages for which no store of their placement vouches
-        self.probes = set[tuple[str, int]]()  # requests about doubtful messages that await their answer
         self.orphans_found = False  # since the last link came up
         # by store that was away as a placement without it was adopted: the messages
         self.uninformed: dict[str, set[str]] = {}
@@ -79,6 +76,7 @@
         self.awaited.add(node)
         self.orphans_found = False
         self.compared_at[node] = store.now
+        self.questions.cancel(node, Kind.PART)
         pending, ended = store.entry_holders.of(node), store.end_holders.of(node)
         parts = deque(Part(pending[at : at + BATCH], []) for at in range(0, len(pending), BATCH))
         parts.extend(Part([], ended[at : at + BATCH]) for at in range(0, len(ended), BATCH))
@@ -105,20 +103,19 @@
         self.listed_by.discard(node)
         self.parts.pop(node, None)
         self.compared_at.pop(node, None)
-        self.requests = {key: mids for key, mids in self.requests.items() if key[0] != node}
-        self.probes = {key for key in self.probes if key[0] != node}
+        self.questions.cancel(node)
         self.missing = {mid: sender for mid, sender in self.missing.items() if sender != node}
 
     def send_next(self, node: str) -> None:
         """Sends the next part of the comparison, of what is still here."""
         store, part = self.store, self.parts[node].popleft()
-        message = self.request(node, [mid for mid in part.pending if mid in store.entries])
+        message = self.list_pending([mid for mid in part.pending if mid in store.entries])
         for mid in part.ended:
             if mid in store.unsynced:
                 self.postponed.setdefault(mid, set()).add(node)
             self.list_end(message, mid)
         message.last = not self.parts[node]
-        store.send(node, "have", message)
+        self.questions.ask(node, Kind.PART, message)
 
     def list_end(self, message: Have, mid: str) -> None:
         """Adds an end to a list, if it is on this disk."""
@@ -132,18 +129,10 @@
         for node in sorted(self.postponed.pop(mid, set()) & self.store.peers.keys()):
             self.provide(node, mid)
 
-    def question(self, pending: list[str]) -> Have:
-        """A message with these pending messages and a number of its own."""
-        self.last_number += 1
+    def list_pending(self, pending: list[str]) -> Have:
+        """A list of these pending messages."""
         stamps = [self.store.entries[mid].placement.stamp for mid in pending]
-        return Have(pending=pending, stamps=stamps, number=self.last_number)
-
-    def request(self, node: str, pending: list[str]) -> Have:
-        """A question about pending messages, whose answer confirms those that it does not name."""
-        message = self.question(pending)
-        if self.store.protocols.get(node):  # else no answer will name the number
-            self.requests[node, message.number] = pending
-        return message
+        return Have(pending=pending, stamps=stamps)
 
     # ---- the other store's list
 
@@ -206,7 +195,7 @@
     def differ(self, node: str, msg: Differ) -> None:
         """Handles the differences that a store reports."""
         store = self.store
-        asked = self.requests.pop((node, msg.number), [])
+        question = self.questions.answered(node, msg.number)
         for end in msg.ends:
             self.learn_end(node, end)
         for mid in msg.drop:  # from a store of the version before, which compares no versions
@@ -220,15 +209,22 @@
         for mid in sorted(msg.lack, key=self.risk):
             self.provide(node, mid)
         self.doubtful.update((mid, None) for mid in (*msg.lack, *msg.absent) if mid in store.entries)
-        unconfirmed = {*msg.lack, *msg.absent, *(end.mid for end in msg.ends)}
-        for mid in asked:
-            if mid not in unconfirmed:
-                self.confirm(node, mid)
-        if (node, msg.number) in self.probes:
-            self.probes.discard((node, msg.number))
-        elif self.parts.get(node):
+        if question is not None:
+            unconfirmed = {*msg.lack, *msg.absent, *(end.mid for end in msg.ends)}
+            for mid in question.confirmable:
+                if mid not in unconfirmed:
+                    self.confirm(node, mid)
+        unnumbered = not msg.number and (msg.last or not store.protocols.get(node))
+        if unnumbered:  # of a version that names no numbers: it answers the part that was sent last
+            self.questions.cancel(node, Kind.PART)
+        if unnumbered or (question is not None and question.kind is Kind.PART):
+            self.advance(node, msg.last)
+
+    def advance(self, node: str, last: bool) -> None:
+        """A part was answered; `last`: of the comparison."""
+        if self.parts.get(node):
             self.send_next(node)
-        elif msg.last:
+        elif last:
             self.awaited.discard(node)
 
     def learn_end(self, node: str, end: End) -> None:
@@ -326,7 +322,7 @@
                     self.confirm(node, mid)
                 continue
             for at in range(0, len(mids), BATCH):
-                store.send(node, "have", self.request(node, mids[at : at + BATCH]))
+                self.questions.ask(node, Kind.CONFIRMATION, self.list_pending(mids[at : at + BATCH]))
 
     # ---- doubtful messages
 
@@ -355,13 +351,11 @@
         present = [mid for mid in mids if mid in store.entries or mid in store.ends]
         for at in range(0, len(present), BATCH):
             batch = present[at : at + BATCH]
-            message = self.question([mid for mid in batch if mid in store.entries])
+            message = self.list_pending([mid for mid in batch if mid in store.entries])
             message.ends = True
             for mid in batch:
                 self.list_end(message, mid)
-            if store.protocols.get(node):
-                self.probes.add((node, message.number))
-            store.send(node, "have", message)
+            self.questions.ask(node, Kind.PROBE, message)
 
     # ---- copies that have come
 
@@ -392,6 +386,7 @@
         for node, at in list(self.compared_at.items()):
             if node not in self.awaited and store.now - at >= COMPARE_INTERVAL:
                 self.start(node)
+        self.questions.tick()
         if self.surplus:
             self.ask_about_surplus()
         if self.received:
@@ -413,7 +408,8 @@
 
     def is_complete(self) -> bool:
         """Whether every linked store has answered, also about messages that no other store vouches for."""
-        return self.orphans_found and not (self.awaited or self.doubtful or self.probes)
+        unanswered = self.awaited or self.doubtful or self.questions.awaits(Kind.PROBE)
+        return self.orphans_found and not unanswered
 
     def restart(self, nodes: Iterable[str]) -> None:
         """Compares everything again, as after a start."""
--- a/opalwick/post/store/gateway_leases.py
+++ b/opalwick/post/store/gateway_leases.py
@@ -55,6 +55,14 @@
         if node in self.gateways:
             self.gateways[node].linked = False
             self.reported.discard(node)
+            self.pending_lists.pop(node, None)
+
+    def counter_ended(self, node: str) -> None:
+        """The known process of a gateway has ended: its messages are free. The next one may have any
+        incarnation number.
+        """
+        if (gateway := self.gateways.pop(node, None)) is not None:
+            self.lapsed(process_id(node, gateway.incarnation))
 
     def counter_pulse(self, node: str, pulse: Pulse) -> None:
         """A heartbeat of a gateway was received."""
--- a/opalwick/post/store/rebalancing.py
+++ b/opalwick/post/store/rebalancing.py
@@ -22,7 +22,7 @@
 
 MAX_MOVES = 256  # messages in transfer at once; their bytes are bounded by the window of each store
 MAX_END_MOVES = 512  # ends in transfer at once, of some hundred bytes each
-MOVE_TIMEOUT = 6.0  # s until an unconfirmed move is planned anew: over the timeout of its copies
+MOVE_TIMEOUT = 2.0  # s until an unconfirmed move is planned anew, and the ends of it are sent again
 REFUSAL_PAUSE = 2.0  # s for which a store that has refused a replica is chosen for no other
 # s that a store is away until its replicas are restored elsewhere: over twice its slowest restart
 REPAIR_AFTER = 8.0
@@ -256,6 +256,11 @@
             else:
                 store.send_end(mid, [node])
 
+    def awaits(self, node: str, mid: str) -> bool:
+        """Whether a move of the message, or of its end, waits for that store."""
+        moves = (self.moves.get(mid), self.end_moves.get(mid))
+        return any(move is not None and node in move.unconfirmed for move in moves)
+
     # ---- answers
 
     def kept(self, node: str, mid: str, refused: bool) -> None:
--- a/opalwick/post/store/role.py
+++ b/opalwick/post/store/role.py
@@ -49,6 +49,7 @@
             settings.survive.boxes + 1,
             settings.survive.across_zones,
         )
+        self.store.comparison.questions.begin(life)
         self.store.trace, self.store.event = self.trace, self.event
         self.guard = Guard(self.zone, settings, self.directory, self.event)
         self.queue: list[Write | Fetch] = []
@@ -101,12 +102,20 @@
         elif link.peer.role == "depot":
             self.store.depot_down(link.peer.node)
 
+    def on_process_ended(self, node: str) -> None:
+        self.store.counter_ended(node)
+
+    def handle_late(self, link: Link, kind: str, message: Any) -> None:
+        """What an ended gateway process has stored and reported as ended still counts."""
+        if link.peer.role == "counter":
+            self.handle(link, kind, message)
+
     def handle(self, link: Link, kind: str, msg: Any) -> None:
         store, node = self.store, link.peer.node
         if kind == "news" and msg.whole:
             self.reporting_controllers.add(node)
         if link.peer.role == "counter" and self.is_from_earlier_process(link):
-            if kind in ("mine", "refuse"):
+            if kind in ("pulse", "mine", "refuse"):
                 return
             if kind == "keep":  # its gateway process is gone, so it has no owner
                 msg.parked = True
@@ -136,11 +145,8 @@
                 super().handle(link, kind, msg)
 
     def is_from_earlier_process(self, link: Link) -> bool:
-        """Whether a later process of that gateway is known; peer messages of the earlier one may still be
-        unread.
-        """
-        gateway = self.store.gateways.get(link.peer.node)
-        return gateway is not None and gateway.incarnation > link.peer.life
+        """Whether a later process of that node is known."""
+        return self.processes.get(link.peer.node, link.peer.life) != link.peer.life
 
     def trace_peer_message(self, node: str, kind: str, msg: Any) -> None:
         """Writes the trace event of a peer message about one stored message, with its owner until then."""
@@ -305,6 +311,8 @@
             "settled": store.settled,
             "copied_octets": store.transfers.sent_bytes,
             "to_copy": store.transfers.waiting,
+            "oldest_copy": round(store.transfers.oldest, 3),
+            "repeated": store.transfers.repeated,
             "thin": sum(store.rebalancing.replica_counts(store.rebalancing.lost_stores()).values()),
             "surplus": len(store.comparison.surplus),
             "missing": len(store.comparison.missing) + store.dead_bytes.count,
--- a/opalwick/post/store/state.py
+++ b/opalwick/post/store/state.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
 from opalwick.post.store.placement import HolderIndex, Placement
@@ -35,6 +35,7 @@
     members: set[str] | None  # all other stores, by the controllers; None: not known yet
     seal: Seal
     writes: list[Write]
+    event: Callable[..., None]  # logs an event: its number, and its fields
 
     def country(self, zone: str) -> str:
         """The country that a zone is in; empty where it is unknown."""
@@ -58,6 +59,10 @@
         """Stores that have the message or its end; empty where it is unknown."""
         ...
 
+    def owes_copy(self, node: str, mid: str) -> bool:
+        """Whether that store should get a copy of the message from this one, as far as is known now."""
+        ...
+
     def expects_bytes(self, mid: str) -> bool:
         """Whether the bytes of a dead message are not here yet, and may still come from another store."""
         ...
--- a/opalwick/post/store/status.py
+++ b/opalwick/post/store/status.py
@@ -17,7 +17,9 @@
 from opalwick.post.names import message_id
 from opalwick.post.wire_pb2 import Letter, Route
 
-NOW = frozenset(("pending", "ends", "settled", "to_copy", "thin", "surplus", "missing", "learner"))
+NOW = frozenset(
+    ("pending", "ends", "settled", "to_copy", "oldest_copy", "thin", "surplus", "missing", "learner")
+)
 PAGE = 100  # dead messages in one answer at most
 MAX_READ = 1000  # dead messages read for one answer at most
 READ_STEP = 50  # read in one turn of the disk's thread: delays a batch by a millisecond
@@ -38,6 +40,7 @@
         # by the number of replicas that are left on other than lost or retiring stores
         "thin": {str(left): count for left, count in sorted(counts.items())},
         "to_copy": store.transfers.waiting,
+        "oldest_copy": store.transfers.oldest,
         "surplus": len(store.comparison.surplus),
         "missing": len(store.comparison.missing) + store.dead_bytes.count,
         "learner": store.comparison.learner,
--- a/opalwick/post/store/store_base.py
+++ b/opalwick/post/store/store_base.py
@@ -267,6 +267,13 @@
         known = self.entries.get(mid) or self.ends.get(mid)
         return known.replicas if known is not None else ()
 
+    def owes_copy(self, node: str, mid: str) -> bool:
+        """Whether that store should get a copy of the message from this one: it is listed, or to be listed,
+        as a replica, and the message's bytes are here.
+        """
+        here = mid in self.entries or mid in self.dead_sizes
+        return here and (node in self.replicas_of(mid) or self.rebalancing.awaits(node, mid))
+
     def expects_bytes(self, mid: str) -> bool:
         """Whether the bytes of a dead message are not here yet, and may still come from another store."""
         return self.dead_bytes.expected(mid)
--- a/tests/post_cluster.py
+++ b/tests/post_cluster.py
@@ -66,6 +66,14 @@
             data = Envelope(**{kind: message}).SerializeToString()
             self.cluster.waiting[self.near, self.far].append(data)
 
+    def finish(self) -> None:
+        """Hands over what has arrived, and closes this end."""
+        if self.cluster.ends.get((self.near, self.far)) is self:
+            messages = self.cluster.waiting.pop((self.far, self.near), [])
+            self.cluster.receive(self.near, self, messages)
+            del self.cluster.ends[self.near, self.far]
+        self.cluster.roles[self.near].remove_link(self)
+
 
 class Cluster:
     def __init__(self, counters: int, depots: int, spread: float = 0.0) -> None:
--- a/tests/test_post_events.py
+++ b/tests/test_post_events.py
@@ -33,7 +33,9 @@
     return [[cell.strip() for cell in row.strip("|").split("|")] for row in found]
 
 
-def logged(loggers: tuple[str, ...] = ("events.emit", "self.event", "self.trace")) -> dict[int, set[str]]:
+def logged(
+    loggers: tuple[str, ...] = ("events.emit", "self.event", "self.store.event", "self.trace"),
+) -> dict[int, set[str]]:
     """All event numbers that the code logs, with their fields; `*`: fields determined at run time."""
     found: dict[int, set[str]] = {}
     for path in sorted((HERE / "opalwick" / "post").rglob("*.py")):
