A second answer to an earlier delivery is not that of the next one

Cause: all deliveries of a message have its id, answers were matched by it, and the pool gave the next delivery the connection used last, on which the worker's second answer to the one before was still to come.

What follows an answer in the same read, or comes in place of the answer to an identification, spoils the connection. Gateways and opalwick serve share it.

Why this works in any order: an answer with the request's id can only be one to a request written on this connection, and no other with that id was.

Lab: fault second_answers, connections that the production pool chooses; the judge counts failed runs on disks (MIXED) and runs begun beside one at work (TWICE); verify asks for the same message again, two planted faults more.

A table test sets the attribute by its new name; five cases of the judge were added, and its services name dedup as in real histories.

--- a/opalwick/lab/post/faults.py
+++ b/opalwick/lab/post/faults.py
@@ -548,6 +548,11 @@
     return _set(scene, fault, draw, "lost", _size(fault))
 
 
+@fault
+def second_answers(scene: Scene, fault: Fault, draw: random.Random) -> Steps:
+    return _set(scene, fault, draw, "repeats", _size(fault))
+
+
 @fault
 def broken_off(scene: Scene, fault: Fault, draw: random.Random) -> Steps:
     return _set(scene, fault, draw, "breaks", _size(fault))
--- a/opalwick/lab/post/history.py
+++ b/opalwick/lab/post/history.py
@@ -18,6 +18,7 @@
   turned (run, status), began (run), finished (run, status, seal)          its rejection, start, result
   said (run, status, seal), read (run)      the whole answer was sent; the gateway has read it
   bare (id)                                 accepted, and neither it nor its completion is on a store's disk
+  failed (id, count)                    accepted, and the stores have counted so many failed runs of it
   thin (id, "message" | "body" | "end", count, required)       accepted, and on fewer disks than required
   copies (id, count)                        at `asking`: disks that have it, where none has its completion
   drains (worker), drain_acked (worker, office), gone (worker, whether it crashed)
@@ -154,6 +155,7 @@
         self.unknown_name_queries: dict[int, UnknownNameQuery] = {}
         self.not_on_disk: list[tuple[float, str]] = []
         self.thin: list[tuple[float, str, str, int, int]] = []
+        self.failed_runs: list[tuple[float, str, int]] = []
         self.copies: dict[str, int] = {}
         self.conf_sent: dict[int, float] = {}
         self.conf_acked: dict[int, float] = {}
@@ -208,6 +210,8 @@
                 self.not_on_disk.append((at, f[0]))
             elif what == "thin":
                 self.thin.append((at, f[0], f[1], f[2], f[3]))
+            elif what == "failed":
+                self.failed_runs.append((at, f[0], f[1]))
             elif what == "copies":
                 self.copies[f[0]] = f[1]
             elif what == "told":
--- a/opalwick/lab/post/judge.py
+++ b/opalwick/lab/post/judge.py
@@ -25,6 +25,8 @@
             self.requests,
             self.twice,
             self.again,
+            self.at_work,
+            self.failed,
             self.asked,
             self.strangers,
             self.denied,
--- a/opalwick/lab/post/kinds.py
+++ b/opalwick/lab/post/kinds.py
@@ -59,6 +59,12 @@
     "cut_workers": Kind("links between machines and workers are partitioned", 1.0, (1.0, 1.0)),
     # ---- workers
     "lost_answers": Kind("a share SIZE of the workers' answers is lost", 0.2, (0.02, 0.6), "workers"),
+    "second_answers": Kind(
+        "a share SIZE of the workers' answers is sent a second time, up to a second later",
+        0.2,
+        (0.02, 0.6),
+        "workers",
+    ),
     "broken_off": Kind(
         "a share SIZE of the requests ends with a connection reset", 0.2, (0.02, 0.6), "workers"
     ),
--- a/opalwick/lab/post/roles.py
+++ b/opalwick/lab/post/roles.py
@@ -6,11 +6,13 @@
 import json
 from collections.abc import Callable
 from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 from opalwick.lab.agenda import Entry
 from opalwick.lab.post import disks
+from opalwick.lab.post.worker_connections import WorkerConnection, answer_message
 from opalwick.lab.post.process import DISKS, PROCESSES, Machine, Proc, recording_events
+from opalwick.post.gateway.answers import belongs, verdict
 from opalwick.post.gateway.process import MAX_ACCEPTS, EXIT_MARGIN
 from opalwick.post.gateway.dispatchers import parse_load as read_load
 from opalwick.post.gateway.http_api import decode_message, answer_error, parse_lookup
@@ -21,14 +23,17 @@
 from opalwick.post.controller.process import POLL_INTERVAL, STORE_INTERVAL
 from opalwick.post.controller.role import Controller
 from opalwick.post.settings import Settings
-from opalwick.post.delivery_outcome import DeliveryOutcome, outcome_of_status
+from opalwick.post.delivery_outcome import DeliveryOutcome
 from opalwick.protocol.server_connection import Call
 from opalwick.protocol.http import Malformed, Message
+from opalwick.transport.connection import Connection
+from opalwick.transport.pool import Pool, PoolExhausted
 
 if TYPE_CHECKING:
     from opalwick.lab.post.workers import Run, Worker
 
 CONNECT = 0.3  # s, time-out for connecting to a worker, as in the gateway's limits
+MAX_CONNECTIONS = 1000  # of a gateway to all workers
 IDLE = 10.0  # s that workers keep an idle connection; the pool closes it well before
 
 
@@ -77,39 +82,68 @@
 
 
 class Attempt:
-    """A delivery attempt: the counterpart of `protocol/errand.py`, as far as a role depends on it."""
-
-    __slots__ = ("given_up", "kept", "order", "over", "proc", "run", "sent", "timer", "until", "worker")
+    """A delivery attempt: the counterpart of `gateway/delivery.py`, as far as a role depends on it."""
+
+    __slots__ = (
+        "connection",
+        "given_up",
+        "order",
+        "over",
+        "proc",
+        "request_id",
+        "run",
+        "sent",
+        "timer",
+        "until",
+        "worker",
+    )
 
     def __init__(self, proc: GatewayProcess, order: Start) -> None:
         self.proc, self.order = proc, order
+        self.request_id = order.item.message.rid.encode("latin-1")
         self.until = proc.now() + order.within + 0.05
-        self.given_up = self.over = self.sent = self.kept = False
+        self.given_up = self.over = self.sent = False
+        self.connection: WorkerConnection | None = None
         self.worker: Worker | None = None
         self.run: Run | None = None
         self.timer: Entry | None = None
 
+    @property
+    def kept(self) -> bool:
+        """Whether its connection had been used before."""
+        return self.connection is not None and self.connection.uses > 1
+
     def unwanted(self) -> bool:
         return self.given_up or self.proc.now() >= self.until or not self.proc.role.may_start(self.order)
 
     def begin(self) -> None:
-        proc = self.proc
         if self.unwanted():
             self.end(DeliveryOutcome.NOT_SENT)
             return
-        place = self.order.place[:2]
-        idle = proc.idle.get(place)
-        while idle:
-            worker, since = idle.pop()
-            if (
-                worker.there
-                and proc.agenda.now - since < 0.7 * IDLE - 0.1
-                # the worker was identified when the connection was made
-                and (worker.id == self.order.place[2] or not proc.role.must_identify(self.order))
-            ):
-                self.worker, self.kept = worker, True
-                self.send()
-                return
+        try:
+            self.connection = self.acquire()
+        except PoolExhausted:
+            self.end(DeliveryOutcome.NOT_SENT)
+            return
+        if self.connection.uses:
+            self.worker = self.connection.worker
+            self.send()
+        else:
+            self.connection.uses = 1
+            self.connect()
+
+    def acquire(self) -> WorkerConnection:
+        """A connection to the worker. One that is reused was identified when it was made."""
+        pool, place = self.proc.pool, self.order.place
+        while True:
+            connection = cast(WorkerConnection, pool.acquire(place[:2], self.request_id))
+            identified = connection.worker is not None and connection.worker.id == place[2]
+            if not connection.uses or identified or not self.proc.role.must_identify(self.order):
+                return connection
+            pool.close(cast(Connection, connection))
+
+    def connect(self) -> None:
+        proc, place = self.proc, self.order.place[:2]
         found = proc.world.at_address.get(place)
         net = proc.world.net
         self.timer = proc.agenda.after(min(CONNECT, self.until - proc.now()), proc.event, self.no_connection)
@@ -157,8 +191,10 @@
         self.send()
 
     def send(self) -> None:
-        proc, worker = self.proc, self.worker
-        assert worker is not None
+        proc, worker, connection = self.proc, self.worker, self.connection
+        assert worker is not None and connection is not None
+        connection.worker, connection.attempt = worker, self
+        connection.unfinished.add(self.request_id)
         self.sent = True
         if self.timer is not None:
             self.timer.cancel()
@@ -173,15 +209,34 @@
             return
         self.run = None
         self.proc.world.note("read", run.number)
-        outcome = outcome_of_status(status, not_run, bool(seal))
-        assert self.worker is not None
-        if outcome is not DeliveryOutcome.ABSENT:
-            self.proc.idle.setdefault(self.order.place[:2], []).append((self.worker, self.proc.agenda.now))
-        self.end(outcome, seal, read_load(load) if load else None)
+        self.take(answer_message(run.rid, status, not_run, seal), seal, load)
+
+    def answered_again(self, run: Run, status: int, not_run: bool, seal: str, load: bytes) -> None:
+        """Called when a second answer to this attempt arrives, on a connection that may have gone on to
+        another one.
+        """
+        connection = self.connection
+        if connection is None or connection.closed:
+            return
+        if connection.attempt is None:
+            connection.unread = True
+        else:
+            connection.attempt.take(answer_message(run.rid, status, not_run, seal), seal, load)
+
+    def take(self, answer: Message, seal: str, load: bytes) -> None:
+        """An answer has arrived while one is awaited: it may be one to an earlier request."""
+        assert self.connection is not None
+        if not belongs(answer, self.request_id, False):
+            self.connection.close()
+        else:
+            self.proc.pool.set_idle_limit(self.order.place[:2], 0.7 * IDLE - 0.1)
+        self.end(verdict(answer, self.request_id, False, True), seal, read_load(load) if load else None)
 
     def broken(self) -> None:
         """Called when the connection was reset or closed."""
         self.run = None
+        if self.connection is not None:
+            self.connection.close()
         self.end(DeliveryOutcome.CANCELLED if self.given_up else DeliveryOutcome.BROKEN, kept=self.kept)
 
     def give_up(self) -> None:
@@ -200,11 +255,24 @@
             self.proc.world.hang_up(self)
         proc = self.proc
         proc.attempts.pop((self.order.key, self.order.number), None)
+        self.return_connection(outcome)
         if outcome.ran is None and outcome is not DeliveryOutcome.CANCELLED:
-            proc.idle.pop(self.order.place[:2], None)
+            proc.pool.close_idle(self.order.place[:2])
         proc.guarded(proc.role.delivery_ended, self.order, outcome, seal, load, kept)
         proc.settle()
 
+    def return_connection(self, outcome: DeliveryOutcome) -> None:
+        """Only a connection on which the answer has arrived is used again."""
+        if (connection := self.connection) is None:
+            return
+        connection.attempt = None
+        if outcome.final:
+            connection.unfinished.finish(self.request_id)
+        unanswered = (DeliveryOutcome.NOT_SENT, DeliveryOutcome.ABSENT)
+        if outcome in unanswered or outcome.ran is None:
+            connection.close()
+        self.proc.pool.release(self.order.place[:2], cast(Connection, connection))
+
 
 class GatewayProcess(Serving):
     """A gateway process."""
@@ -213,8 +281,10 @@
 
     def __init__(self, world: Any, machine: Machine) -> None:
         self.attempts: dict[tuple[Any, int], Attempt] = {}
-        self.idle: dict[Any, list[tuple[Worker, float]]] = {}  # idle connections to workers, since when
+        make = cast(Callable[[int], Connection], WorkerConnection)
+        self.pool = Pool(MAX_CONNECTIONS, IDLE, 0, connect=make, clock=self.now)
         super().__init__(world, machine)
+        self.pool.max_by_address = self.role.rounds.connection_limits
 
     def make(self, settings: Settings, life: int, now: float) -> Any:
         random_bytes = Random(f"{settings.node}/{life}").randbytes
--- a/opalwick/lab/post/rules_messages.py
+++ b/opalwick/lab/post/rules_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import defaultdict
 
 from opalwick.lab.post.history import INF, History
@@ -121,6 +122,39 @@
                     continue
                 break
 
+    def at_work(self) -> None:
+        """TWICE: a gateway had a message run again while a run of it for the same gateway was at work and in
+        time, at a service that does not discard repeats, with no unplanned fault.
+        """
+        for id, runs in self.runs_of.items():
+            one = self.tries.get(id)
+            if one is None or len(runs) < 2:
+                continue
+            limit = min(
+                (r[4] for k in self.valid() if (r := self.find(k, one.host, one.target))), default=0.0
+            )
+            for first, later in itertools.permutations(runs, 2):
+                if (
+                    first.status == 200
+                    and not self.history["services"][first.svc]["dedup"]
+                    and first.counter == later.counter
+                    and first.began < later.began < min(first.ended, first.at + limit)
+                    and not self.unplanned(first.at - self.contact, later.at)
+                ):
+                    self.add_violation(
+                        "TWICE",
+                        later.began,
+                        id,
+                        f"run by {later.worker} while {first.worker} was at work on it",
+                    )
+
+    def failed(self) -> None:
+        """MIXED: more runs of a message are counted as failed than have failed."""
+        for at, id, count in self.failed_runs:
+            runs = sum(run.status == 500 and run.ended <= at for run in self.runs_of[id])
+            if count > runs:
+                self.add_violation("MIXED", at, id, f"{count} failed runs are counted, {runs} have failed")
+
     def asked(self) -> None:
         """MIXED: a state or body was returned that is not the message's own."""
         for at, id, what, status, state, seal, same in self.query_answers:
--- a/opalwick/lab/post/sockets/world.py
+++ b/opalwick/lab/post/sockets/world.py
@@ -132,6 +132,11 @@
 
             self.agenda.after(READ_WITHIN, has_read)
 
+    def back_again(self, run: Run, id: str, status: int, not_run: bool, seal: str, load: bytes) -> None:
+        served: Any = run.sending.served  # type: ignore[attr-defined]
+        if not served.over and self.net.open(id, run.sending.proc.node):
+            served.say(answer(run, status, not_run, seal, load))
+
     def reset(self, run: Run, id: str) -> None:
         run.over = True
         served: Any = run.sending.served  # type: ignore[attr-defined]
--- a/opalwick/lab/post/workers.py
+++ b/opalwick/lab/post/workers.py
@@ -21,6 +21,7 @@
 
 COLD, COLD_FOR = 1.6, 3.0  # factor on the work of a worker that has just started, and for how many s
 CALL_TIMEOUT = 1.0  # s for a call to a controller
+LATEST_REPEAT = 1.0  # s after an answer that it is sent a second time, at the latest
 LINGER = 0.5  # s that a worker stays after its drain is due
 DRAIN_TIMEOUT = 5.0  # s after which a worker leaves although its drain was not acknowledged
 
@@ -73,7 +74,9 @@
 
 
 class Worker:
-    """A worker process or static endpoint. Fault injection sets `lost`, `breaks`, `hangs` and `dark`."""
+    """A worker process or static endpoint. Fault injection sets `lost`, `breaks`, `repeats`, `hangs` and
+    `dark`.
+    """
 
     def __init__(
         self, world: World, service: Service, number: int, zone: str, place: tuple[str, int]
@@ -88,7 +91,7 @@
         self.queue: deque[Run] = deque()
         self.born = world.agenda.now
         self.calls = 0
-        self.lost = self.breaks = 0.0
+        self.lost = self.breaks = self.repeats = 0.0
         self.says = ""  # a false zone that it reports; empty: its own
         world.net.zones[self.id] = zone
         world.at_address[place] = self
@@ -202,6 +205,14 @@
         self.world.note("said", run.number, status, seal)
         load = b"%d,%d,%d" % (len(self.running), len(self.queue), self.service.slots)
         self.world.back(run, self.id, status, not_run, seal, load)
+        if self.repeats and self.draw.random() < self.repeats:
+            late = LATEST_REPEAT * self.draw.random() ** 2
+            self.world.agenda.after(late, self.answer_again, run, status, not_run, seal, load)
+
+    def answer_again(self, run: Run, status: int, not_run: bool, seal: str, load: bytes) -> None:
+        """Sends an answer a second time."""
+        if self.there and not self.dark:
+            self.world.back_again(run, self.id, status, not_run, seal, load)
 
     def break_off(self, run: Run) -> None:
         if not run.over:
--- a/opalwick/lab/post/world.py
+++ b/opalwick/lab/post/world.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import sqlite3
 from collections import Counter
 from typing import Any
 
@@ -59,6 +60,7 @@
         self.confs: list[dict[str, Any]] = []
         self.wants: dict[str, Want] = {}
         self.replicas = ReplicaCounter(self)
+        self.failed_runs: dict[str, int] = {}  # by request id: as the stores have counted them
         self.completed: set[str] = set()  # request ids of messages that a worker has completed
         self.rids: dict[int, str] = {}  # request id by run number
         self.runs = self.fault_count = self.born = 0
@@ -127,14 +129,27 @@
 
     def inspect_replicas(self) -> None:
         """Records what accepted messages have too few replicas of."""
-        self.replicas.read([machine.disk.db for machine in self.of("depot")])
+        disks = [machine.disk.db for machine in self.of("depot")]
+        self.replicas.read(disks)
         self.note_thin()
+        self.note_failed_runs(disks)
 
     def note_thin(self) -> None:
         for rid, name in self.clients.names.items():
             if (found := self.replicas.lacking(name)) is not None:
                 self.note("thin", rid, *found)
 
+    def note_failed_runs(self, disks: list[sqlite3.Connection]) -> None:
+        """Records how many failed runs of an accepted message the stores have counted."""
+        counted = dict[str, int]()
+        for disk in disks:
+            for name, fails in disk.execute("select mid, fails from letters where fails > 0"):
+                counted[name] = max(fails, counted.get(name, 0))
+        for rid, name in self.clients.names.items():
+            if counted.get(name, 0) > self.failed_runs.get(rid, 0):
+                self.failed_runs[rid] = counted[name]
+                self.note("failed", rid, counted[name])
+
     def copies(self) -> dict[str, tuple[int, int]]:
         """Returns, for each accepted message that no worker has completed, the number of store disks that
         hold it and the number that hold its end record, whether or not their machines are up."""
@@ -281,6 +296,16 @@
 
         self.agenda.after(self.net.delay(id, node), self.net.when_open, id, node, arrives)
 
+    def back_again(self, run: Run, id: str, status: int, not_run: bool, seal: str, load: bytes) -> None:
+        """Returns a second copy of an answer, on the same connection."""
+        attempt = run.sending
+        node = attempt.proc.node
+
+        def arrives() -> None:
+            attempt.proc.event(attempt.answered_again, run, status, not_run, seal, load)
+
+        self.agenda.after(self.net.delay(id, node), self.net.when_open, id, node, arrives)
+
     def reset(self, run: Run, id: str) -> None:
         """Resets the connection of a run from the worker's side."""
         run.over = True
--- a/opalwick/lab/verify/answers.py
+++ b/opalwick/lab/verify/answers.py
@@ -33,9 +33,10 @@
 
     `runs`: it runs the request. `status`: of its response, 0: none. `echoes_id`: the response repeats the
     request's id. `framed`: it has a Content-Length. `again`: it comes a second time once the connection is
-    idle; `crossing`: while the next request is written. `late`: nothing comes until then. `early`: the
-    response comes before the last byte of the request is read. `first`: a rejection is sent on a new
-    connection before any request. `closes`: the worker closes the connection after it.
+    idle; `crossing`: while the next request is written; `at_once`: together with the first one. `late`:
+    nothing comes until then. `early`: the response comes before the last byte of the request is read.
+    `first`: a rejection is sent on a new connection before any request. `closes`: the worker closes the
+    connection after it.
     """
 
     name: str
@@ -45,6 +46,7 @@
     framed: bool = True
     again: bool = False
     crossing: bool = False
+    at_once: bool = False
     late: bool = False
     early: bool = False
     first: bool = False
@@ -68,6 +70,9 @@
     WorkerBehaviour("breaks off", status=0, closes=True),
     WorkerBehaviour("speaks first", first=True),
     WorkerBehaviour("serves twice, crossing", crossing=True),
+    WorkerBehaviour("fails twice, crossing", status=500, crossing=True),
+    WorkerBehaviour("turns away twice, crossing", runs=False, status=503, crossing=True),
+    WorkerBehaviour("fails twice at once", status=500, at_once=True),
     WorkerBehaviour(
         "turns away twice, crossing, unnamed", runs=False, status=503, echoes_id=False, crossing=True
     ),
@@ -124,51 +129,45 @@
 
 
 class FakePool(Pool):
+    """The production pool over fake sockets, whose clock stands still."""
+
     def __init__(self, model: ResponseModel) -> None:
-        super().__init__(8, 60.0, LIMITS.ring)
+        def connect(ring: int) -> Connection:
+            return FakeConnection(FakeSocket(model), ring)
+
+        super().__init__(8, 60.0, LIMITS.ring, connect=connect, clock=lambda: 0.0)
         self.model = model
 
-    def acquire(self, address: Any) -> Connection:
-        kept = self.idle.get(address)
-        while kept:
-            connection = kept.pop()
-            if not connection.readable():
-                connection.uses += 1
-                self.model.last = connection
-                return connection
-            self.close(connection)
-        connection = self.model.last = FakeConnection(FakeSocket(self.model), self.ring)
-        connection.address = address
-        self.open += 1
-        self.open_to[address] += 1
-        return connection
+    def acquire(self, address: Any, request_id: bytes = b"") -> Connection:
+        self.model.last = super().acquire(address, request_id)
+        return self.model.last
 
 
 class ResponseModel(Replayed):
-    """Rules: `another's answer`, `said not run`, `beyond a break`, `no end`."""
+    """Rules: `another's answer`, `said not run`, `beyond a break`, `no end`.
+
+    A request is for another message than the one before, or, if that has not ended, for the same message.
+    """
 
     def initialize(self) -> None:
         self.pool, self.number, self.current = FakePool(self), 0, BEHAVIOURS[0]
+        self.message_number = 0  # of the message that was requested last
+        self.ended = True  # whether that message has ended
         self.ran: dict[int, bool] = {}
         self.responded = False
         self.last: Connection | None = None
 
     def enabled(self) -> list[Transition]:
-        return (
-            [
-                (("asks, long" if long else "asks"), behaviour.name)
-                for behaviour in BEHAVIOURS
-                for long in (False, True)
-            ]
-            if self.budget.requests
-            else []
-        )
+        if not self.budget.requests:
+            return []
+        kinds = ["asks", "asks, long"] + ["asks again"] * (not self.ended)
+        return [(kind, behaviour.name) for behaviour in BEHAVIOURS for kind in kinds]
 
     # ---- the worker
 
     def answer(self, behaviour: WorkerBehaviour, number: int) -> bytes:
         lines = [f"HTTP/1.1 {behaviour.status} X"]
-        lines += [f"X-Request-Id: r{number}"] * behaviour.echoes_id
+        lines += [f"X-Request-Id: r{self.message_number}"] * behaviour.echoes_id
         lines += [f"X-Seal: s{number}"] * (behaviour.status == 200)
         lines += ["X-Not-Run: 1"] * (behaviour.status == 503)
         lines += ["Content-Length: 2"] * behaviour.framed
@@ -195,7 +194,7 @@
         if behaviour.late:
             socket.on_next_request = response
         else:
-            socket.unread += response
+            socket.unread += response * (1 + behaviour.at_once)
             socket.on_idle = response if behaviour.again else b""
             socket.on_next_request = response if behaviour.crossing else b""
             socket.closed_by_peer = behaviour.closes
@@ -206,6 +205,8 @@
         kind, name = step
         self.budget = self.budget._replace(requests=self.budget.requests - 1)
         self.number += 1
+        if kind != "asks again":
+            self.message_number = self.number
         self.current = next(behaviour for behaviour in BEHAVIOURS if behaviour.name == name)
         body = LONG_BODY if kind == "asks, long" else b"x"
         self.size, self.responded = len(body), False
@@ -216,13 +217,14 @@
             )
             connection.sock.on_idle = b""
         outcomes: list[Any] = []
-        name = f"r{self.number}"
+        name = f"r{self.message_number}"
         message = Letter(mid=name, rid=name, method=b"POST", target=b"/x", host=b"h", body=body)
         delivery = Delivery(
             PLACE, message, 1.0, lambda: True, self.pool, LIMITS, lambda end, kept: outcomes.append(end)
         )
         delivery.run()
         self.check(outcomes, body is LONG_BODY)
+        self.ended = outcomes[0][0].final
 
     def check(self, outcomes: list[Any], long: bool) -> None:
         if len(outcomes) != 1:
@@ -245,11 +247,16 @@
             raise PropertyViolation(
                 "another's answer", f"request {self.number} was accepted, but its outcome is {outcome.text}"
             )
+        if outcome is DeliveryOutcome.FAILED and self.current.status != 500:
+            raise PropertyViolation(
+                "another's answer", f"request {self.number} did not fail, but its outcome is {outcome.text}"
+            )
         behaviour = self.current
         broken = (
             not behaviour.framed
             or behaviour.closes
             or behaviour.late
+            or behaviour.at_once
             or (behaviour.early and long)
             or outcome is DeliveryOutcome.BROKEN
         )
@@ -260,7 +267,14 @@
 
     def state(self) -> Any:
         kept = [
-            (c.uses, c.sock.unread, c.sock.on_next_request, c.sock.on_idle, c.sock.closed_by_peer)
+            (
+                c.uses,
+                c.sock.unread,
+                c.sock.on_next_request,
+                c.sock.on_idle,
+                c.sock.closed_by_peer,
+                sorted(c.unfinished.ids),
+            )
             for c in self.pool.idle.get(PLACE[:2], [])
         ]
-        return self.number, kept
+        return self.number, self.message_number, self.ended, kept
--- a/opalwick/lab/verify/mutants.py
+++ b/opalwick/lab/verify/mutants.py
@@ -55,6 +55,8 @@
 from opalwick.post.controller.role import Controller
 from opalwick.post.controller.views import Answer, PendingChange, Views
 from opalwick.post.wire_pb2 import Written
+from opalwick.protocol import outgoing
+from opalwick.transport.pool import Pool
 
 Patch = Callable[[Any, str, Any], None]
 MAX_STATES = 30000  # state limit within which a mutant must be found
@@ -567,6 +569,17 @@
     patch(Delivery, "on_connected", greet)
 
 
+@mutant("answer", requests_sent(3), "another's answer", "said not run")
+def a_message_goes_on_a_connection_that_it_was_on_before(patch: Patch) -> None:
+    acquire = Pool.acquire
+    patch(Pool, "acquire", lambda self, address, request_id=b"": acquire(self, address))
+
+
+@mutant("answer", requests_sent(2), "beyond a break")
+def a_connection_with_a_second_answer_is_kept(patch: Patch) -> None:
+    patch(outgoing.ResponseParser, "surplus", property(lambda self: False, lambda self, value: None))
+
+
 @mutant("answer", requests_sent(2), "beyond a break")
 def a_connection_with_half_a_request_is_kept(patch: Patch) -> None:
     listen = Delivery.read_end
--- a/opalwick/post/delivery_outcome.py
+++ b/opalwick/post/delivery_outcome.py
@@ -24,6 +24,11 @@
     def __init__(self, text: str, ran: bool | None, outcome: Outcome) -> None:
         self.text, self.ran, self.reducer_outcome = text, ran, outcome
 
+    @property
+    def final(self) -> bool:
+        """Whether the message has ended with it, so that no other delivery follows."""
+        return self in (DeliveryOutcome.DONE, DeliveryOutcome.REFUSED)
+
 
 def outcome_of_status(status: int, not_run: bool, sealed: bool) -> DeliveryOutcome:
     """Outcome of a complete response. `not_run`: it has X-Not-Run; `sealed`: it has a completion token."""
--- a/opalwick/post/gateway/answers.py
+++ b/opalwick/post/gateway/answers.py
@@ -1,10 +1,11 @@
 """Matching of HTTP answers to requests on a connection to a worker. No I/O.
 
 An answer belongs to exactly one request on one connection. An answer that repeats the request's id belongs to
-that request. An answer without an id belongs to the request only if no other request was ever sent on the
-connection and nothing had arrived on it before; otherwise it may be a late or second answer to an earlier
-request. An answer that belongs to another request, or to none, is never used as an outcome: the request may
-have run, and the connection is not used again.
+that request: all deliveries of a message have its id, so no two of them are written on one connection, unless
+the earlier one has ended the message (`transport/unfinished_requests.py`). An answer without an id belongs to
+the request only if no other request was ever sent on the connection and nothing had arrived on it before;
+otherwise it may be a late or second answer to an earlier request. An answer that belongs to another request,
+or to none, is never used as an outcome: the request may have run, and the connection is not used again.
 
 A request whose last bytes were not written cannot have run, whatever the answer says.
 """
--- a/opalwick/post/gateway/delivery.py
+++ b/opalwick/post/gateway/delivery.py
@@ -60,7 +60,7 @@
 class Delivery(OutgoingRequest):
     """Sends one message to one worker and reports the outcome once."""
 
-    __slots__ = ("fully_written", "identification", "message", "only_request", "report", "rid", "worker")
+    __slots__ = ("fully_written", "identification", "message", "only_request", "report", "worker")
 
     def __init__(
         self,
@@ -90,8 +90,9 @@
             pool,
             limits,
             ResponseParser(limits, MAX_BODY),
+            message.rid.encode("latin-1"),
         )
-        self.rid, self.report = message.rid.encode("latin-1"), report
+        self.report = report
         self.fully_written = True  # the last byte of the request was written
         self.only_request = False  # it is the only request that was ever sent on the connection
 
@@ -119,8 +120,10 @@
                 answer.feed(data)
         except Malformed:
             raise ConnectionAbortedError from None
-        last = answer.final
+        last, surplus = answer.final, answer.surplus
         answer.close()
+        if surplus or (connection.uses > 1 and b"x-request-id" in last.headers):
+            raise ConnectionAbortedError  # a late or second answer to an earlier request
         name = last.headers.get(b"x-worker", b"")
         if (
             not self.identification.matches(name.decode("latin-1"))
@@ -170,8 +173,8 @@
 
     def interpret(self, connection: Connection, response: Message) -> Result:
         fields = response.headers
-        outcome = verdict(response, self.rid, self.only_request, self.fully_written)
-        if not belongs(response, self.rid, self.only_request):
+        outcome = verdict(response, self.request_id, self.only_request, self.fully_written)
+        if not belongs(response, self.request_id, self.only_request):
             connection.close()  # a late response to another request
             return outcome, "", None
         if (idle := _KEEP_ALIVE_TIMEOUT.search(fields.get(b"keep-alive", b""))) is not None:
@@ -188,6 +191,9 @@
     def is_broken(self, end: Result) -> bool:
         return end[0] is DeliveryOutcome.BROKEN
 
+    def is_final(self, end: Result) -> bool:
+        return end[0].final
+
     def report_end(self, result: Any, stale_connection: bool) -> None:
         self.report(result, stale_connection)
         del self.report  # breaks the reference cycle
--- a/opalwick/protocol/outgoing.py
+++ b/opalwick/protocol/outgoing.py
@@ -21,9 +21,25 @@
     def __init__(self, limits: Limits, max_body: int = 0) -> None:
         super().__init__(httptools.HttpResponseParser, limits, self.on_complete, max_body=max_body)
         self.final: Message | None = None  # the response, once it is complete
+        # whether more than the response has arrived: a second response, or no HTTP at all
+        self.surplus = False
+
+    def feed(self, data: memoryview, now: float = 0.0) -> None:
+        """Parses data. What follows the response is not part of it, whatever it is. Raises Malformed."""
+        try:
+            super().feed(data, now)
+        except Malformed:
+            if self.final is None:
+                raise
+            self.surplus = True
+
+    def on_message_begin(self) -> None:
+        self.surplus = self.final is not None
+        super().on_message_begin()
 
     def on_complete(self, message: Message) -> None:
-        self.final = message
+        if self.final is None:
+            self.final = message
 
 
 class OutgoingRequest:
@@ -32,6 +48,7 @@
 
     __slots__ = (
         "address",
+        "request_id",
         "data",
         "deadline",
         "wanted",
@@ -51,7 +68,10 @@
         pool: Pool,
         limits: Limits,
         parser: ResponseParser,
+        request_id: bytes = b"",
     ) -> None:
+        """`request_id`: as all requests of the work item and all answers to them repeat it."""
+        self.request_id = request_id
         self.address, self.data, self.deadline, self.wanted = address, data, deadline, wanted
         self.pool, self.limits, self.parser = pool, limits, parser
         self.connection: Connection | None = None
@@ -59,6 +79,10 @@
 
     # ---- hooks
 
+    def is_final(self, end: Any) -> bool:
+        """Whether no other request of the same work item follows."""
+        return end is Outcome.FINISHED
+
     def read_end(self, connection: Connection) -> Any:
         """Waits for the response and returns the end. Closes the connection if it fails."""
         raise NotImplementedError
@@ -100,7 +124,7 @@
         if self.is_obsolete():
             return self.report_end(self.end_without_response(Outcome.NOT_SENT), False)
         try:
-            connection = self.connection = self.pool.acquire(self.address)
+            connection = self.connection = self.pool.acquire(self.address, self.request_id)
         except PoolExhausted:
             return self.report_end(self.end_without_response(Outcome.NOT_SENT), False)
         end = self.end_without_response(Outcome.BROKEN)
@@ -110,6 +134,8 @@
         finally:
             # reported before the connection is returned, as reading the rest of the response may block
             answered = self.parser.begun or self.parser.header_complete
+            if self.is_final(end):
+                connection.unfinished.finish(self.request_id)
             kept = connection.uses > 1 and not answered and self.is_broken(end)
             if kept or answered:
                 self.pool.record_use(connection, not kept)
@@ -129,6 +155,7 @@
                 if self.is_obsolete():
                     raise ConnectionAbortedError
             self.on_connected(connection)
+            connection.unfinished.add(self.request_id)
             self.write(connection)
             self.data = b""
             return None
@@ -154,7 +181,7 @@
                 answer.feed(data)
         except (OSError, Malformed):
             pass
-        if answer.final is None or not answer.final.keep_alive:
+        if answer.final is None or not answer.final.keep_alive or answer.surplus:
             connection.close()
         self.pool.release(self.address, connection)
         answer.close()
--- a/opalwick/protocol/workers.py
+++ b/opalwick/protocol/workers.py
@@ -62,7 +62,7 @@
 
     def on_body(self, part: bytes) -> None:
         self.header_fed = 0
-        if self.parser.get_status_code() != 200:
+        if self.final is not None or self.parser.get_status_code() != 200:
             return
         *complete, self.line = (self.line + part).split(b"\n")
         if len(self.line) > 8 * self.limits.body:  # JSON escapes may take six bytes for one of the result
@@ -70,7 +70,7 @@
         self.lines += complete
 
     def on_complete(self, message: Message) -> None:
-        if self.line:
+        if self.line and self.final is None:
             self.lines.append(self.line)
         super().on_complete(message)
 
@@ -97,8 +97,11 @@
         emit: Callable[..., None],
     ) -> None:
         data = request(message, "%s:%d" % address, deadline - time.monotonic())
-        super().__init__(address, data, deadline, wanted, pool, limits, WorkerResponseParser(limits))
-        self.id = message.headers[b"x-correlation-id"].decode("latin-1")
+        request_id = message.headers[b"x-correlation-id"]
+        super().__init__(
+            address, data, deadline, wanted, pool, limits, WorkerResponseParser(limits), request_id
+        )
+        self.id = request_id.decode("latin-1")
         self.names, self.counts, self.emit = names, counts, emit
         # the status with which the worker rejected the request as the client's error
         self.rejected_status = 0
@@ -114,6 +117,9 @@
     def is_broken(self, end: End) -> bool:
         return end[0] is Outcome.BROKEN
 
+    def is_final(self, end: End) -> bool:
+        return end[0] is Outcome.FINISHED
+
     def send(self, connection: Connection) -> Outcome | None:
         if (unsent := super().send(connection)) is None:
             self.counts.attempts_sent += 1
--- a/opalwick/transport/connection.py
+++ b/opalwick/transport/connection.py
@@ -13,6 +13,7 @@
 
 from opalwick.transport.stalls import StallDetector, kernel_age
 from opalwick.transport.ring_buffer import RingBuffer
+from opalwick.transport.unfinished_requests import UnfinishedRequests
 
 Address = tuple[str, int]
 # replaces the buffers of a closed connection, so that references to it do not keep them until a full
@@ -51,6 +52,7 @@
         "late_reads",
         "address",
         "peer_name",
+        "unfinished",
     )
 
     def __init__(self, sock: Any, capacity: int, empty_at: float = 0.0) -> None:
@@ -60,6 +62,7 @@
         self.closed, self.uses = False, 0
         self.address: Address = ("", 0)  # the address to which the pool opened it
         self.peer_name = b""  # name of the peer, once it was requested
+        self.unfinished = UnfinishedRequests()
         self.idle_before_use = 0.0  # seconds idle before its latest use
         self.opened_at = self.idle_since = time.monotonic()
         self.empty_at = empty_at or self.opened_at
--- a/tests/test_lab_post.py
+++ b/tests/test_lab_post.py
@@ -371,7 +371,10 @@
                     "d2": ["depot", "b"],
                     "o": ["office", "a"],
                 },
-                "services": {"plain": {"rate": 0.0}, "metered": {"rate": 2.0}},
+                "services": {
+                    "plain": {"rate": 0.0, "dedup": False},
+                    "metered": {"rate": 2.0, "dedup": False},
+                },
                 "confs": self.confs,
                 "faults": [],
                 "room": True,
@@ -420,6 +423,20 @@
             one().run(2.1, "1").trouble(2.2, 3.0, "term", "c", True).run(5.0, "1", counter="c2"),
             ["TWICE"],
         ),
+        "again while it was at work": (one().run(2.1, "1", read=False).run(2.115, "1"), ["TWICE"]),
+        "again while it was at work, by another": (
+            one().run(2.1, "1", read=False).run(2.115, "1", counter="c2"),
+            [],
+        ),
+        "again while it was at work, a depot was killed": (
+            one().run(2.1, "1", read=False).run(2.115, "1").trouble(1.0, 1.5),
+            [],
+        ),
+        "more failures counted than there were": (
+            one().run(2.1, "1", 500).at(4.0, "failed", "1", 2),
+            ["MIXED"],
+        ),
+        "as many failures counted as there were": (one().run(2.1, "1", 500).at(4.0, "failed", "1", 1), []),
         "before its delay": (t().sent(2.0, "1", delay=2.0).run(3.0, "1"), ["EARLY"]),
         "accepted only after the run": (
             [
--- a/tests/test_post_tables.py
+++ b/tests/test_post_tables.py
@@ -295,7 +295,7 @@
     """A response to another request proves nothing about this one. One without a request id counts only if no
     other request was sent on its connection. An idle connection is kept for less than its keep-alive."""
     d, connection, rests = Delivery.__new__(Delivery), SimpleNamespace(closed=False), []
-    d.rid, d.address, d.only_request, d.fully_written = b"9c41", ("10.0.0.1", 80), only_request, True
+    d.request_id, d.address, d.only_request, d.fully_written = b"9c41", ("10.0.0.1", 80), only_request, True
     d.pool = SimpleNamespace(set_idle_limit=lambda at, seconds: rests.append(round(seconds, 2)))  # type: ignore[assignment]
     connection.close = lambda: setattr(connection, "closed", True)
     assert d.interpret(connection, SimpleNamespace(status=status, headers=fields)) == expected  # type: ignore[arg-type]
