Builds go by the kind of processor and Python, not by time alone

Cause: target/deps and .venv that were carried over from another kind of machine were taken for built, as they were newer than the requirements. The Makefile's stamp has both in its name.

--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,14 @@
 
 .PHONY: build demo demo-post test lint run regression clean wire
 
-build: .venv/done
+# the environment is made anew for another kind of processor or another Python
+BUILT_FOR := $(shell python3 -c 'import sys, sysconfig; print(sysconfig.get_platform(), sys.implementation.cache_tag, sep="-")')
+STAMP = .venv/done-$(BUILT_FOR)
 
-.venv/done: requirements.txt requirements-lab.txt requirements-processor.txt requirements-post.txt requirements-dev.txt
+build: $(STAMP)
+
+$(STAMP): requirements.txt requirements-lab.txt requirements-processor.txt requirements-post.txt requirements-dev.txt
+	test -e $@ || rm -rf .venv
 	test -d .venv || python3 -m venv .venv
 	.venv/bin/pip -q install -r requirements.txt -r requirements-lab.txt -r requirements-processor.txt -r requirements-post.txt -r requirements-dev.txt
 	$(PYTHON) -m compileall -q opalwick
--- a/tests/test_install.py
+++ b/tests/test_install.py
@@ -6,6 +6,7 @@
 import re
 import subprocess
 import sys
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -102,3 +103,54 @@
         for path in ROOT.rglob("*.py")
         if path.parts[len(ROOT.parts)] in ("opalwick", "bench") and pattern.search(path.read_text())
     ]
+
+
+class FakeMachine:
+    """A copy of the build script whose `python3` tells the kind of machine, and records installations."""
+
+    PYTHON = """#!/bin/sh
+case "$2" in
+    pip) echo installed >>installations; mkdir -p target/deps; "$FAIL" || touch target/deps/module ;;
+    compileall) ;;
+    *) echo "$KIND" ;;
+esac
+test "$2" != pip || ! "$FAIL"
+"""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        for name in ("bin", "deploy"):
+            (folder / name).mkdir()
+        (folder / "deploy" / "build.sh").write_text((ROOT / "deploy" / "build.sh").read_text())
+        (folder / "bin" / "python3").write_text(self.PYTHON)
+        (folder / "bin" / "python3").chmod(0o755)
+        self.requirements = folder / "requirements-post.txt"
+        self.requirements.touch()
+        os.utime(self.requirements, (1.0, 1.0))
+
+    def build(self, kind: str, fail: bool = False) -> int:
+        """The number of installations until now."""
+        env = {**os.environ, "KIND": kind, "FAIL": "true" if fail else "false"}
+        env["PATH"] = f"{self.folder / 'bin'}:{env['PATH']}"
+        done = subprocess.run(["sh", "deploy/build.sh"], cwd=self.folder, env=env, timeout=60, check=False)
+        assert (done.returncode != 0) is fail
+        return len((self.folder / "installations").read_text().split())
+
+
+def test_the_build_is_made_anew_for_another_kind_of_machine(tmp_path: Path) -> None:
+    """Guards against compiled modules of another kind of processor or Python in a folder that was carried
+    over: it went by time alone.
+    """
+    machine = FakeMachine(tmp_path)
+    assert [machine.build(kind) for kind in ("linux-x86_64 cpython-311",) * 2] == [1, 1]
+    (tmp_path / "target" / "deps" / "left-over").touch()
+    assert machine.build("linux-aarch64 cpython-311") == 2
+    assert not (tmp_path / "target" / "deps" / "left-over").exists()
+    assert machine.build("linux-aarch64 cpython-312") == 3
+    os.utime(machine.requirements)  # they have changed
+    assert machine.build("linux-aarch64 cpython-312", fail=True) == 4
+    assert machine.build("linux-aarch64 cpython-312") == 5
+
+
+def test_the_deploy_file_names_the_build_script() -> None:
+    assert tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["build"] == "sh deploy/build.sh"
