--- a/opalwick/lab/post/soak.py
+++ b/opalwick/lab/post/soak.py
@@ -37,6 +37,7 @@
     "late",
     "cut_workers",
     "lost_answers",
+    "second_answers",
     "broken_off",
     "crash",
 )
